--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+DEPLOYMENT ?= hanul
+SECONDS ?= 600
+PACKAGES := core wire platform daemon cli testbed
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/vanillapitch-$(name))
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test check format bench slopes soak generate clean
+
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt \
+		$(EDITABLE) pytest hypothesis ruff
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m vanillapitch_testbed.demo --deployment $(DEPLOYMENT)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	$(BIN)/python -m vanillapitch_testbed.bench --out build/bench.json
+
+slopes: $(STAMP)
+	$(BIN)/python -m vanillapitch_testbed.slopes --out build/slopes.json
+
+soak: $(STAMP)
+	$(BIN)/python -m vanillapitch_testbed.soak --seconds $(SECONDS)
+
+# Needs thrift-compiler 0.17; the generated code is committed.
+generate:
+	cd packages/vanillapitch-wire && for file in idl/*.thrift; do \
+		thrift --gen py:slots,package_prefix=vanillapitch_wire._gen. \
+			-out src/vanillapitch_wire/_gen $$file; done
+	rm -f packages/vanillapitch-wire/src/vanillapitch_wire/_gen/*/*-remote
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The vanillapitch command line."""
--- /dev/null
+++ b/packages/vanillapitch-platform/src/vanillapitch_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and measurements for vanillapitch; not shipped."""
--- /dev/null
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Inner protocol between vanillapitch daemons."""
