--- a/packages/vanillapitch-wire/idl/dispatch.thrift
+++ b/packages/vanillapitch-wire/idl/dispatch.thrift
@@ -25,8 +25,7 @@
   8: required i32 attempt;
   9: required i32 priority;
   10: required bool idempotent;
-  11: required string fingerprint;
-  12: required i64 revision;      // tables revision that routed the request
+  11: required i64 revision;      // tables revision that routed the request
 }
 
 // A reply carries either a response (status above zero) or a refusal code.
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
@@ -1,1 +1,27 @@
 """Inner protocol between vanillapitch daemons."""
+
+from vanillapitch_wire.connection import Connection, connect
+from vanillapitch_wire.exceptions import (
+    CallCancelled,
+    CallTimedOut,
+    ConnectFailed,
+    ConnectionLost,
+    HandshakeFailed,
+    SendFailed,
+    WireError,
+)
+from vanillapitch_wire.server import Server, current_socket
+
+__all__ = [
+    "CallCancelled",
+    "CallTimedOut",
+    "ConnectFailed",
+    "Connection",
+    "ConnectionLost",
+    "HandshakeFailed",
+    "SendFailed",
+    "Server",
+    "WireError",
+    "connect",
+    "current_socket",
+]
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/dispatch/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/dispatch/ttypes.py
@@ -239,7 +239,6 @@
      - attempt
      - priority
      - idempotent
-     - fingerprint
      - revision
 
     """
@@ -255,12 +254,11 @@
         'attempt',
         'priority',
         'idempotent',
-        'fingerprint',
         'revision',
     )
 
 
-    def __init__(self, request_id=None, pool=None, method=None, target=None, headers=None, body=None, remaining_ms=None, attempt=None, priority=None, idempotent=None, fingerprint=None, revision=None,):
+    def __init__(self, request_id=None, pool=None, method=None, target=None, headers=None, body=None, remaining_ms=None, attempt=None, priority=None, idempotent=None, revision=None,):
         self.request_id = request_id
         self.pool = pool
         self.method = method
@@ -271,7 +269,6 @@
         self.attempt = attempt
         self.priority = priority
         self.idempotent = idempotent
-        self.fingerprint = fingerprint
         self.revision = revision
 
     def read(self, iprot):
@@ -340,11 +337,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 12:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
@@ -402,12 +394,8 @@
             oprot.writeFieldBegin('idempotent', TType.BOOL, 10)
             oprot.writeBool(self.idempotent)
             oprot.writeFieldEnd()
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 11)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
-            oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 12)
+            oprot.writeFieldBegin('revision', TType.I64, 11)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -434,8 +422,6 @@
             raise TProtocolException(message='Required field priority is unset!')
         if self.idempotent is None:
             raise TProtocolException(message='Required field idempotent is unset!')
-        if self.fingerprint is None:
-            raise TProtocolException(message='Required field fingerprint is unset!')
         if self.revision is None:
             raise TProtocolException(message='Required field revision is unset!')
         return
@@ -677,8 +663,7 @@
     (8, TType.I32, 'attempt', None, None, ),  # 8
     (9, TType.I32, 'priority', None, None, ),  # 9
     (10, TType.BOOL, 'idempotent', None, None, ),  # 10
-    (11, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 11
-    (12, TType.I64, 'revision', None, None, ),  # 12
+    (11, TType.I64, 'revision', None, None, ),  # 11
 )
 all_structs.append(DispatchReply)
 DispatchReply.thrift_spec = (
--- /dev/null
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/exceptions.py
@@ -0,0 +1,58 @@
+"""Errors of connections between daemons."""
+
+from vanillapitch_core import VanillapitchError
+
+__all__ = [
+    "CallCancelled",
+    "CallTimedOut",
+    "ConnectFailed",
+    "ConnectionLost",
+    "HandshakeFailed",
+    "SendFailed",
+    "WireError",
+]
+
+
+class WireError(VanillapitchError):
+    """Base of errors between daemons."""
+
+    code = "wire_error"
+
+
+class ConnectFailed(WireError):
+    """No connection could be made, so no byte of a call was sent."""
+
+    code = "connect_failed"
+
+
+class HandshakeFailed(ConnectFailed):
+    """The peer did not prove knowledge of the cluster key."""
+
+    code = "handshake_failed"
+
+
+class SendFailed(WireError):
+    """The call was not sent completely.
+
+    The peer handles a call only once its whole frame has arrived, so it did not run.
+    """
+
+    code = "send_failed"
+
+
+class ConnectionLost(WireError):
+    """The connection ended after the whole call was sent."""
+
+    code = "connection_lost"
+
+
+class CallTimedOut(WireError):
+    """The reply did not arrive before the deadline."""
+
+    code = "call_timed_out"
+
+
+class CallCancelled(WireError):
+    """The caller gave up before the reply arrived."""
+
+    code = "call_cancelled"
