--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/settings/exceptions.py
@@ -0,0 +1,24 @@
+"""Errors of the settings."""
+
+from vanillapitch_core.exceptions import VanillapitchError
+
+__all__ = ["SettingsError"]
+
+
+class SettingsError(VanillapitchError):
+    """The settings are invalid or cannot be read.
+
+    Parameters
+    ----------
+    path : str
+        Path of the offending field, for example ``$.listen.callers``.
+    reason : str
+        What is wrong, in one line and without secrets.
+    """
+
+    code = "settings_invalid"
+
+    def __init__(self, *, path: str, reason: str):
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
