Answer the outcome of all attempts, not only of the last

A lost first attempt of an idempotent request followed by a refusal was answered not_run although the first attempt may have run.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_retry.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_retry.py
@@ -42,26 +42,40 @@
 
     def run_attempts(routed: RoutedRequest) -> Answer:
         excluded: frozenset[str] = frozenset()
+        refusal: Refusal | None = None
         first_number = routed.request.attempt
-        last: Attempt | None = None
         for number in range(first_number, first_number + ATTEMPTS_MAX):
             if clock.now_ms() >= routed.deadline_ms:
-                return last.answer if last else _make_deadline_refusal()
+                return refusal or _make_deadline_refusal()
             current = attempt(routed, number, excluded)
-            if current.status is None and last is not None:
-                # No further endpoint: the refusal of the one that was tried says more.
-                return last.answer
-            last = current
-            if not _may_retry(routed, current):
+            if isinstance(current.answer, Response):
                 return current.answer
+            refusal = _merge_refusals(refusal, current)
+            if not _may_retry(routed, current):
+                break
             excluded |= {current.instance}
-        return last.answer
+        return refusal
 
     return run_attempts
 
 
+def _merge_refusals(earlier: Refusal | None, last: Attempt) -> Refusal:
+    if earlier is None:
+        return last.answer
+    if last.status is None:
+        # No further endpoint: the refusal of the one that was tried says more.
+        return earlier
+    if (
+        earlier.outcome is not Outcome.NOT_RUN
+        and last.answer.outcome is Outcome.NOT_RUN
+    ):
+        # The earlier attempt may have run, so the whole request may have.
+        return earlier
+    return last.answer
+
+
 def _may_retry(routed: RoutedRequest, last: Attempt) -> bool:
-    if isinstance(last.answer, Response) or last.status is None:
+    if last.status is None:
         return False
     if routed.request.attempt > 1 or last.answer.code in _NOT_RETRIED_CODES:
         return False
