Add the store client and a stand-in for the platform's service

Claims and configuration need compare-and-swap, leases and watches, and errors that tell a call without effect from one whose outcome is unknown.

- vanillapitch_platform: KeyValueStore, typed compares, operations and results, and EtcdGatewayStore, which speaks the JSON gateway form of the etcd v3 API.
- vanillapitch_testbed.store: a process with revisions, leases, watches, nested transactions, bounds on sizes, faults and counters on a control address.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,39 @@
+"""Fixtures that tests of several packages share."""
+
+import socket
+
+import pytest
+from vanillapitch_platform import EtcdGatewayStore
+from vanillapitch_testbed.store import StoreProcess
+
+
+@pytest.fixture(scope="session")
+def shared_store_process():
+    """One store process for all tests; `store_process` clears its faults."""
+    with StoreProcess() as process:
+        yield process
+
+
+@pytest.fixture
+def store_process(shared_store_process):
+    """Provide a store process without faults and with counters at zero."""
+    shared_store_process.set_faults()
+    shared_store_process.reset_counters()
+    yield shared_store_process
+    shared_store_process.set_faults()
+
+
+@pytest.fixture
+def store(store_process):
+    """Provide a client of `store_process` with a timeout of 500 ms."""
+    client = EtcdGatewayStore(addresses=[store_process.address], timeout_ms=500)
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def unused_address():
+    """Provide an address on which connections are refused."""
+    with socket.socket() as reserved:
+        reserved.bind(("127.0.0.1", 0))
+        yield "{}:{}".format(*reserved.getsockname())
--- /dev/null
+++ b/packages/vanillapitch-platform/src/vanillapitch_platform/exceptions.py
@@ -0,0 +1,48 @@
+"""Errors of the store client."""
+
+from vanillapitch_core.exceptions import VanillapitchError
+
+__all__ = [
+    "StoreCompacted",
+    "StoreError",
+    "StoreLeaseNotFound",
+    "StoreOutcomeUnknown",
+    "StoreRejected",
+    "StoreUnavailable",
+]
+
+
+class StoreError(VanillapitchError):
+    """Base of the store client's errors."""
+
+    code = "store_error"
+
+
+class StoreUnavailable(StoreError):  # noqa: N818
+    """The call failed and certainly had no effect."""
+
+    code = "store_unavailable"
+
+
+class StoreOutcomeUnknown(StoreError):  # noqa: N818
+    """The call may have had an effect; reading calls never raise this."""
+
+    code = "store_outcome_unknown"
+
+
+class StoreRejected(StoreError):  # noqa: N818
+    """The store refused the call as invalid; it had no effect."""
+
+    code = "store_rejected"
+
+
+class StoreLeaseNotFound(StoreRejected):
+    """The call names a lease that expired or never existed."""
+
+    code = "store_lease_not_found"
+
+
+class StoreCompacted(StoreRejected):
+    """A watch starts at a revision whose events the store no longer has."""
+
+    code = "store_compacted"
--- /dev/null
+++ b/packages/vanillapitch-platform/src/vanillapitch_platform/gateway.py
@@ -0,0 +1,347 @@
+"""Store client that speaks the JSON gateway form of the etcd v3 API over HTTP."""
+
+import http
+from collections.abc import Callable, Iterator, Sequence
+from typing import TypeVar
+
+import urllib3
+from vanillapitch_core.clock import Clock, SystemClock
+
+from vanillapitch_platform import _gateway_model as wire
+from vanillapitch_platform.exceptions import (
+    StoreCompacted,
+    StoreError,
+    StoreLeaseNotFound,
+    StoreOutcomeUnknown,
+    StoreRejected,
+    StoreUnavailable,
+)
+from vanillapitch_platform.model import (
+    Compare,
+    GetResult,
+    Lease,
+    Operation,
+    PrefixResult,
+    Transaction,
+    TransactionResult,
+    WatchResult,
+)
+
+__all__ = ["EtcdGatewayStore"]
+
+Answer = TypeVar("Answer")
+
+# Bounds the memory of one answer; a value has at most 1 MB, 4/3 of it in base64, and a
+# prefix has many values.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+READ_CHUNK_BYTES = 64 * 1024
+CONNECTIONS_PER_ADDRESS = 4
+
+# gRPC status codes, as the gateway reports them.
+_NOT_FOUND = 5
+_RESOURCE_EXHAUSTED = 8
+_OUT_OF_RANGE = 11
+# Cancelled, unknown, deadline exceeded, aborted, internal, unavailable and data loss:
+# the store may have begun to carry out the call.
+_UNKNOWN_OUTCOME_CODES = frozenset({1, 2, 4, 10, 13, 14, 15})
+
+
+class _AnswerLost(StoreError):  # noqa: N818
+    """The call was sent, and no valid answer arrived."""
+
+
+class EtcdGatewayStore:
+    """Client of the platform's key-value service.
+
+    Implements `vanillapitch_platform.store.KeyValueStore`. A call goes to the address
+    that answered last. If it certainly had no effect there, or if it only reads, it
+    goes on to the other addresses until `timeout_ms` has passed.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        ``IP:port`` of each address of the store.
+    timeout_ms : int
+        Bound of each call, in milliseconds. A watch has its own.
+    clock : Clock
+        Source of time.
+
+    Raises
+    ------
+    ValueError
+        If there is no address.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[str],
+        timeout_ms: int,
+        clock: Clock | None = None,
+    ):
+        if not addresses:
+            raise ValueError("addresses must not be empty")
+        self._pools = [_connection_pool(address) for address in addresses]
+        self._timeout_ms = timeout_ms
+        self._clock = clock or SystemClock()
+        self._preferred_index = 0
+
+    def get(self, key: str) -> GetResult:
+        """Read one key; see `KeyValueStore.get`."""
+        request = wire.RangeRequest(key=key.encode())
+        return self._read("/v3/kv/range", request, wire.RangeAnswer, _get_result)
+
+    def get_prefix(self, prefix: str) -> PrefixResult:
+        """Read all keys with a non-empty prefix; see `KeyValueStore.get_prefix`."""
+        start = prefix.encode()
+        request = wire.RangeRequest(key=start, range_end=wire.prefix_end(start))
+        return self._read("/v3/kv/range", request, wire.RangeAnswer, _prefix_result)
+
+    def transact(
+        self,
+        compares: Sequence[Compare],
+        on_success: Sequence[Operation],
+        on_failure: Sequence[Operation] = (),
+    ) -> TransactionResult:
+        """Carry out a transaction; see `KeyValueStore.transact`."""
+        transaction = Transaction(
+            compares=tuple(compares),
+            on_success=tuple(on_success),
+            on_failure=tuple(on_failure),
+        )
+        request = wire.txn_request(transaction)
+        call = self._write if wire.writes((transaction,)) else self._read
+        return call("/v3/kv/txn", request, wire.TxnAnswer, _transaction_result)
+
+    def grant_lease(self, ttl_ms: int) -> Lease:
+        """Create a lease of at least `ttl_ms`; see `KeyValueStore.grant_lease`."""
+        ttl_seconds = -(-ttl_ms // 1000)
+        request = wire.LeaseGrantRequest(ttl_seconds=str(ttl_seconds))
+        answer = self._write("/v3/lease/grant", request, wire.LeaseGrantAnswer)
+        return Lease(lease_id=answer.lease_id, ttl_ms=answer.ttl_seconds * 1000)
+
+    def keep_alive(self, lease: Lease) -> Lease:
+        """Renew a lease; see `KeyValueStore.keep_alive`."""
+        request = wire.LeaseKeepAliveRequest(lease_id=str(lease.lease_id))
+        answer = self._write("/v3/lease/keepalive", request, wire.KeepAliveAnswer)
+        if answer.result.ttl_seconds <= 0:
+            raise StoreLeaseNotFound(f"lease {lease.lease_id} has expired")
+        ttl_ms = answer.result.ttl_seconds * 1000
+        return Lease(lease_id=lease.lease_id, ttl_ms=ttl_ms)
+
+    def watch(self, key: str, from_revision: int, timeout_ms: int) -> WatchResult:
+        """Wait for changes of one key; see `KeyValueStore.watch`."""
+        create = wire.WatchCreateRequest(
+            key=key.encode(), start_revision=str(from_revision)
+        )
+        body = wire.encode_request(wire.WatchRequest(create_request=create))
+        deadline_ms = self._clock.now_ms() + timeout_ms
+
+        def attempt(pool: urllib3.HTTPConnectionPool, remaining_ms: float):
+            return self._watch_once(pool, body, from_revision, remaining_ms)
+
+        return self._try_addresses(attempt, deadline_ms=deadline_ms, reading=True)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for pool in self._pools:
+            pool.close()
+
+    def _read(self, path, request, answer_type, translate):
+        return self._call(path, request, answer_type, translate, reading=True)
+
+    def _write(self, path, request, answer_type, translate=None):
+        return self._call(path, request, answer_type, translate, reading=False)
+
+    def _call(self, path, request, answer_type, translate, *, reading: bool):
+        body = wire.encode_request(request)
+        deadline_ms = self._clock.now_ms() + self._timeout_ms
+
+        def attempt(pool: urllib3.HTTPConnectionPool, remaining_ms: float):
+            document = self._post(pool, path, body, remaining_ms)
+            try:
+                answer = wire.decode_answer(document, answer_type)
+                return translate(answer) if translate else answer
+            except wire.MalformedAnswer as error:
+                raise _AnswerLost(str(error)) from error
+
+        return self._try_addresses(attempt, deadline_ms=deadline_ms, reading=reading)
+
+    def _try_addresses(
+        self,
+        attempt: Callable[[urllib3.HTTPConnectionPool, float], Answer],
+        *,
+        deadline_ms: float,
+        reading: bool,
+    ) -> Answer:
+        first = self._preferred_index
+        reason = "no time is left for the call"
+        for offset in range(len(self._pools)):
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if remaining_ms <= 0:
+                break
+            index = (first + offset) % len(self._pools)
+            try:
+                answer = attempt(self._pools[index], remaining_ms)
+            except StoreUnavailable as error:
+                reason = str(error)
+            except _AnswerLost as error:
+                # The next call goes elsewhere, since this address may hang.
+                self._preferred_index = (index + 1) % len(self._pools)
+                if not reading:
+                    raise StoreOutcomeUnknown(str(error)) from error
+                reason = str(error)
+            else:
+                self._preferred_index = index
+                return answer
+        raise StoreUnavailable(f"no address of the store answers: {reason}")
+
+    def _post(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        path: str,
+        body: bytes,
+        remaining_ms: float,
+    ) -> bytes:
+        deadline_ms = self._clock.now_ms() + remaining_ms
+        response = self._open(pool, path, body, remaining_ms)
+        document = bytearray()
+        try:
+            while chunk := response.read(READ_CHUNK_BYTES):
+                document += chunk
+                if len(document) > MAX_ANSWER_BYTES:
+                    raise _AnswerLost("the store's answer is too large")
+                if self._clock.now_ms() > deadline_ms:
+                    raise _AnswerLost("the store's answer is not complete in time")
+        except urllib3.exceptions.HTTPError as error:
+            response.close()
+            raise _AnswerLost(f"the store's answer was cut: {error}") from error
+        except _AnswerLost:
+            response.close()
+            raise
+        response.release_conn()
+        if response.status != http.HTTPStatus.OK:
+            raise _error_of(response.status, bytes(document))
+        return bytes(document)
+
+    def _open(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        path: str,
+        body: bytes,
+        remaining_ms: float,
+    ) -> urllib3.BaseHTTPResponse:
+        # One address that drops packets must leave time for the others.
+        connect_ms = remaining_ms / len(self._pools)
+        timeout = urllib3.Timeout(
+            connect=connect_ms / 1000, read=max(remaining_ms, 1.0) / 1000
+        )
+        try:
+            return pool.urlopen(
+                "POST",
+                path,
+                body=body,
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                redirect=False,
+                timeout=timeout,
+                preload_content=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise StoreUnavailable(f"the store cannot be reached: {error}") from error
+        except urllib3.exceptions.HTTPError as error:
+            raise _AnswerLost(f"the store did not answer: {error}") from error
+
+    def _watch_once(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        body: bytes,
+        from_revision: int,
+        remaining_ms: float,
+    ) -> WatchResult:
+        deadline_ms = self._clock.now_ms() + remaining_ms
+        response = self._open(pool, "/v3/watch", body, remaining_ms)
+        try:
+            if response.status != http.HTTPStatus.OK:
+                raise _error_of(response.status, response.read(READ_CHUNK_BYTES))
+            return self._first_events(response, from_revision, deadline_ms)
+        except urllib3.exceptions.ReadTimeoutError:
+            return WatchResult(events=(), next_revision=from_revision)
+        except (urllib3.exceptions.HTTPError, wire.MalformedAnswer) as error:
+            raise _AnswerLost(f"the watch broke: {error}") from error
+        finally:
+            # The stream has no end, so its connection cannot be used again.
+            response.close()
+
+    def _first_events(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        from_revision: int,
+        deadline_ms: float,
+    ) -> WatchResult:
+        for line in _lines(response):
+            result = wire.decode_answer(line, wire.WatchAnswer).result
+            if result.compact_revision:
+                raise StoreCompacted(
+                    f"events before revision {result.compact_revision} are lost"
+                )
+            if result.canceled:
+                raise _AnswerLost("the store cancelled the watch")
+            if result.events:
+                events = tuple(wire.event_of(each) for each in result.events)
+                last_revision = events[-1].entry.mod_revision
+                return WatchResult(events=events, next_revision=last_revision + 1)
+            if self._clock.now_ms() >= deadline_ms:
+                return WatchResult(events=(), next_revision=from_revision)
+        raise _AnswerLost("the store ended the watch")
+
+
+def _connection_pool(address: str) -> urllib3.HTTPConnectionPool:
+    host, _, port = address.rpartition(":")
+    return urllib3.HTTPConnectionPool(
+        host, int(port), maxsize=CONNECTIONS_PER_ADDRESS, block=False
+    )
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    pending = b""
+    while chunk := response.read1(READ_CHUNK_BYTES):
+        pending += chunk
+        if len(pending) > MAX_ANSWER_BYTES:
+            raise _AnswerLost("a message of the watch is too large")
+        *lines, pending = pending.split(b"\n")
+        yield from (line for line in lines if line.strip())
+
+
+def _transaction_result(answer: wire.TxnAnswer) -> TransactionResult:
+    return wire.result_of(answer, answer.header.revision)
+
+
+def _get_result(answer: wire.RangeAnswer) -> GetResult:
+    entry = wire.entry_of(answer.kvs[0]) if answer.kvs else None
+    return GetResult(entry=entry, revision=answer.header.revision)
+
+
+def _prefix_result(answer: wire.RangeAnswer) -> PrefixResult:
+    entries = tuple(wire.entry_of(each) for each in answer.kvs)
+    return PrefixResult(entries=entries, revision=answer.header.revision)
+
+
+def _error_of(status: int, document: bytes) -> StoreError:
+    try:
+        answer = wire.decode_answer(document, wire.ErrorAnswer)
+    except wire.MalformedAnswer:
+        return _AnswerLost(f"the store answered with status {status}")
+    reason = f"the store refused the call: {answer.message}"
+    if answer.code in _UNKNOWN_OUTCOME_CODES:
+        return _AnswerLost(reason)
+    if answer.code == _RESOURCE_EXHAUSTED:
+        return StoreUnavailable(reason)
+    if answer.code == _OUT_OF_RANGE:
+        return StoreCompacted(reason)
+    if answer.code == _NOT_FOUND and "lease" in answer.message:
+        return StoreLeaseNotFound(reason)
+    return StoreRejected(reason)
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/store/__init__.py
@@ -0,0 +1,14 @@
+"""Stand-in for the platform's service: a real process with faults to switch on."""
+
+from vanillapitch_testbed.store.counters import StoreCounters
+from vanillapitch_testbed.store.exceptions import StoreProcessError
+from vanillapitch_testbed.store.faults import DownMode, Faults
+from vanillapitch_testbed.store.process import StoreProcess
+
+__all__ = [
+    "DownMode",
+    "Faults",
+    "StoreCounters",
+    "StoreProcess",
+    "StoreProcessError",
+]
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/store/__main__.py
@@ -0,0 +1,39 @@
+"""Run the stand-in for the platform's service as a process.
+
+Prints one line, ``listening on IP:PORT, control on IP:PORT``, when it is ready, and
+ends on SIGTERM or SIGINT.
+"""
+
+import argparse
+import signal
+import sys
+import threading
+
+from vanillapitch_core.clock import SystemClock
+
+from vanillapitch_testbed.store.control import ControlServer
+from vanillapitch_testbed.store.gateway import Gateway
+
+
+def main() -> int:
+    """Run until a signal arrives; return the exit code."""
+    parser = argparse.ArgumentParser(prog="python -m vanillapitch_testbed.store")
+    parser.add_argument("--listen", default="127.0.0.1:0", metavar="IP:PORT")
+    parser.add_argument("--control", default="127.0.0.1:0", metavar="IP:PORT")
+    arguments = parser.parse_args()
+    host, _, port = arguments.listen.rpartition(":")
+    control_host, _, control_port = arguments.control.rpartition(":")
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    gateway = Gateway(host=host, port=int(port), clock=SystemClock())
+    control = ControlServer(host=control_host, port=int(control_port), gateway=gateway)
+    threading.Thread(target=control.serve_forever, daemon=True).start()
+    print(f"listening on {gateway.address}, control on {control.address}", flush=True)
+    stopped.wait()
+    gateway.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/integration/test_store.py
@@ -0,0 +1,216 @@
+"""Tests of the store client against the store process."""
+
+import threading
+import time
+import uuid
+
+import pytest
+from vanillapitch_platform import (
+    Delete,
+    EtcdGatewayStore,
+    EventKind,
+    Get,
+    Put,
+    StoreCompacted,
+    StoreLeaseNotFound,
+    StoreOutcomeUnknown,
+    StoreRejected,
+    StoreUnavailable,
+    Transaction,
+    key_absent,
+    mod_revision_is,
+    value_is,
+)
+
+pytestmark = pytest.mark.integration
+
+
+@pytest.fixture
+def key():
+    return f"/test/{uuid.uuid4().hex}"
+
+
+def create(store, key, value=b"1", lease_id=0):
+    put = Put(key=key, value=value, lease_id=lease_id)
+    return store.transact([key_absent(key)], [put], [Get(key=key)])
+
+
+def test_second_creation_fails_and_reads_the_first(store, key):
+    # Guards against two claims of one key that both succeed.
+    assert create(store, key, b"first").succeeded
+    second = create(store, key, b"second")
+    assert not second.succeeded
+    assert second.results[0].entry.value == b"first"
+
+
+def test_mod_revision_guards_a_change_against_a_newer_one(store, key):
+    # Guards against a lost update.
+    create(store, key)
+    read = store.get(key)
+    put = Put(key=key, value=b"2")
+    guard = [mod_revision_is(key, read.entry.mod_revision)]
+    assert store.transact(guard, [put]).succeeded
+    assert not store.transact(guard, [put]).succeeded
+    assert store.get(key).entry.version == 2
+
+
+def test_nested_transactions_decide_one_by_one(store, key):
+    # Guards against one taken key that makes the rest of its group fail.
+    create(store, f"{key}/1", b"taken")
+    nested = [
+        Transaction(
+            compares=(key_absent(f"{key}/{index}"),),
+            on_success=(Put(key=f"{key}/{index}", value=b"new"),),
+            on_failure=(Get(key=f"{key}/{index}"),),
+        )
+        for index in range(3)
+    ]
+    result = store.transact([], nested)
+    assert [each.succeeded for each in result.results] == [True, False, True]
+    assert result.results[1].results[0].entry.value == b"taken"
+    entries = store.get_prefix(f"{key}/").entries
+    assert [entry.value for entry in entries] == [b"new", b"taken", b"new"]
+
+
+def test_deletion_by_value_leaves_another_value(store, key):
+    # Guards against a release that removes somebody else's claim.
+    create(store, key, b"mine")
+    assert not store.transact([value_is(key, b"other")], [Delete(key=key)]).succeeded
+    assert store.transact([value_is(key, b"mine")], [Delete(key=key)]).succeeded
+    assert store.get(key).entry is None
+
+
+@pytest.mark.parametrize("size", [1024 * 1024 + 1, 2 * 1024 * 1024])
+def test_too_large_value_is_rejected(store, key, size):
+    # Guards against a value that the platform's service does not hold.
+    with pytest.raises(StoreRejected):
+        create(store, key, b"x" * size)
+
+
+def test_key_written_twice_in_a_transaction_is_rejected(store, key):
+    # Guards against a group that carries two claims of one key.
+    put = Put(key=key, value=b"1")
+    nested = Transaction(compares=(key_absent(key),), on_success=(put,))
+    with pytest.raises(StoreRejected):
+        store.transact([], [nested, nested])
+
+
+def test_lease_removes_its_keys_unless_renewed(store, key):
+    # Guards against claims that outlive their retention, or end before it.
+    short = store.grant_lease(1000)
+    renewed = store.grant_lease(1000)
+    create(store, f"{key}/short", lease_id=short.lease_id)
+    create(store, f"{key}/renewed", lease_id=renewed.lease_id)
+    for _ in range(4):
+        time.sleep(0.35)
+        store.keep_alive(renewed)
+    assert store.get(f"{key}/short").entry is None
+    assert store.get(f"{key}/renewed").entry is not None
+    with pytest.raises(StoreLeaseNotFound):
+        store.keep_alive(short)
+    with pytest.raises(StoreLeaseNotFound):
+        create(store, f"{key}/late", lease_id=short.lease_id)
+
+
+def test_watch_delivers_changes_since_a_revision(store, key):
+    # Guards against a change that falls between a reading and its watch.
+    revision = create(store, key).revision
+    store.transact([], [Put(key=key, value=b"2")])
+    result = store.watch(key, revision + 1, 2000)
+    assert [event.entry.value for event in result.events] == [b"2"]
+    timer = threading.Timer(0.2, store.transact, args=([], [Delete(key=key)]))
+    timer.start()
+    result = store.watch(key, result.next_revision, 5000)
+    timer.join()
+    assert [event.kind for event in result.events] == [EventKind.DELETE]
+
+
+def test_watch_without_changes_ends_in_time_as_one_call(store, store_process, key):
+    # Guards against a watch that blocks its thread or is counted per poll.
+    revision = store.get(key).revision
+    started = time.monotonic()
+    result = store.watch(key, revision + 1, 300)
+    assert result.events == ()
+    assert 0.2 < time.monotonic() - started < 1.5
+    assert store_process.counters().calls_by_kind["watch"] == 1
+
+
+def test_watch_of_lost_events_says_so(store, key):
+    # Guards against a watcher that waits for events which never come.
+    for _ in range(200):
+        nested = [Put(key=f"{key}/{index}", value=b"") for index in range(120)]
+        store.transact([], nested)
+    with pytest.raises(StoreCompacted):
+        store.watch(key, 1, 1000)
+
+
+def test_lost_answer_has_unknown_outcome_and_took_effect(store, store_process, key):
+    # Guards against a lost answer that is taken for a failed write.
+    store_process.set_faults(lose_answers=1)
+    with pytest.raises(StoreOutcomeUnknown):
+        create(store, key)
+    assert store.get(key).entry.value == b"1"
+    assert store_process.counters().answers_lost == 1
+
+
+def test_refused_connection_has_no_effect(store, store_process, key):
+    # Guards against needless unknown outcomes, and against effects that are denied.
+    store_process.set_faults(down="refuse")
+    with pytest.raises(StoreUnavailable):
+        create(store, key)
+    store_process.set_faults()
+    assert store.get(key).entry is None
+
+
+def test_hanging_store_is_unknown_for_writes_only(store, store_process, key):
+    # Guards against a reading that reports an unknown outcome.
+    store_process.set_faults(down="hang")
+    started = time.monotonic()
+    with pytest.raises(StoreOutcomeUnknown):
+        create(store, key)
+    for reading in (
+        lambda: store.get(key),
+        lambda: store.get_prefix(key),
+        lambda: store.transact([], [Get(key=key)]),
+    ):
+        with pytest.raises(StoreUnavailable):
+            reading()
+    assert time.monotonic() - started < 4 * 0.5 + 1
+    store_process.set_faults()
+    assert store.get(key).entry is None
+
+
+def test_slow_write_takes_effect_after_its_caller_gave_up(store, store_process, key):
+    # Guards against a stand-in that spares its users delayed writes.
+    store_process.set_faults(slow_ms=900)
+    with pytest.raises(StoreOutcomeUnknown):
+        create(store, key)
+    store_process.set_faults()
+    assert store.get(key).entry is None
+    time.sleep(1)
+    assert store.get(key).entry is not None
+
+
+def test_unreachable_address_is_passed_over(store_process, unused_address, key):
+    # Guards against a store that one dead address makes unavailable.
+    addresses = [unused_address, store_process.address]
+    client = EtcdGatewayStore(addresses=addresses, timeout_ms=500)
+    assert create(client, key).succeeded
+    assert client.get(key).entry is not None
+
+
+def test_write_rate_limit_delays_writes(store, store_process, key):
+    # Guards against a limit that the stand-in announces and does not keep.
+    store_process.set_faults(max_writes_per_second=20)
+    started = time.monotonic()
+    for index in range(10):
+        create(store, f"{key}/{index}")
+    assert time.monotonic() - started > 0.4
+
+
+def test_store_process_bears_several_hundred_writes_a_second(store, key):
+    # Guards against a stand-in slower than the platform's service.
+    started = time.monotonic()
+    for index in range(300):
+        create(store, f"{key}/{index}")
+    assert time.monotonic() - started < 1
