Add log lines, metrics, table differences and the administration API

Operators and the platform need the daemon's state, tables and metrics, and a conflict must show who changed what. Log lines have one form and replace secrets.

--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/admin/_server.py
@@ -0,0 +1,102 @@
+"""HTTP server of the administration API."""
+
+import threading
+import time
+
+import waitress
+from waitress import wasyncore
+
+from vanillapitch_daemon.admin._app import Application
+from vanillapitch_daemon.settings import Address
+
+__all__ = ["AdminServer"]
+
+_THREADS = 2
+# A tables document is at most 1 MB in the store.
+_BODY_BYTES_MAX = 2 * 1_048_576
+_HEADER_BYTES_MAX = 16_384
+_CONNECTIONS_MAX = 64
+_IDLE_TIMEOUT_S = 30
+_LOOP_TIMEOUT_S = 1.0
+_DRAIN_POLL_S = 0.02
+
+
+class AdminServer:
+    """Serves an application on the administration address.
+
+    Parameters
+    ----------
+    application : callable
+        The WSGI application.
+    address : Address
+        Where to listen; bound at once.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+
+    def __init__(self, *, application: Application, address: Address):
+        self._sockets_by_fd: dict = {}
+        self._stopping = threading.Event()
+        self._drain_timeout_ms = 0
+        self._server = waitress.create_server(
+            application,
+            map=self._sockets_by_fd,
+            listen=str(address),
+            threads=_THREADS,
+            ident=None,
+            connection_limit=_CONNECTIONS_MAX,
+            channel_timeout=_IDLE_TIMEOUT_S,
+            max_request_header_size=_HEADER_BYTES_MAX,
+            max_request_body_size=_BODY_BYTES_MAX,
+            # VMs have no disks; bodies above the overflow would go to a file.
+            inbuf_overflow=2 * _BODY_BYTES_MAX,
+            outbuf_overflow=1_073_741_824,
+            clear_untrusted_proxy_headers=True,
+        )
+        self._thread = threading.Thread(target=self._run, name="admin", daemon=True)
+
+    def start(self) -> None:
+        """Serve in a thread of its own."""
+        self._thread.start()
+
+    def stop(self, *, timeout_ms: int = 2_000) -> None:
+        """Close the listener, answer the requests that arrived, and end.
+
+        Parameters
+        ----------
+        timeout_ms : int
+            Upper bound for requests that are being answered.
+        """
+        if not self._stopping.is_set():
+            self._drain_timeout_ms = timeout_ms
+            self._stopping.set()
+            self._server.pull_trigger()
+        if self._thread.ident is None:
+            self._run()
+        else:
+            self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._poll(timeout_s=_LOOP_TIMEOUT_S)
+        self._server.del_channel()
+        self._server.socket.close()
+        deadline = time.monotonic() + self._drain_timeout_ms / 1000
+        while self._is_busy() and time.monotonic() < deadline:
+            self._poll(timeout_s=_DRAIN_POLL_S)
+        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.1)
+        wasyncore.close_all(self._sockets_by_fd, ignore_all=True)
+
+    def _poll(self, *, timeout_s: float) -> None:
+        wasyncore.loop(
+            timeout=timeout_s, use_poll=True, map=self._sockets_by_fd, count=1
+        )
+
+    def _is_busy(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(
+            channel.requests or channel.total_outbufs_len for channel in channels
+        )
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/logs.py
@@ -0,0 +1,160 @@
+"""Structured log lines: one line an event, without secrets.
+
+A line holds the time, the level, the part of the daemon, a short sentence and fields::
+
+    2026-12-04T08:00:00.123Z WARNING membership: Suspected a member zone=gb-a
+"""
+
+import json
+import logging
+import re
+import sys
+import time
+import traceback
+from collections.abc import Iterable
+from typing import Any, TextIO
+
+__all__ = ["PartLog", "configure_logs", "get_log"]
+
+_ROOT = "vanillapitch"
+_REDACTED = "[redacted]"
+_PLAIN_VALUE = re.compile(r"[!#-<>-~]+")
+# A stack trace is useful up to its last frames; longer lines are cut by collectors.
+_TRACEBACK_CHARACTERS_MAX = 4_000
+
+
+class PartLog:
+    """Log of one part of the daemon.
+
+    Parameters
+    ----------
+    part : str
+        Fixed prefix of the part, for example ``ingress``.
+    """
+
+    def __init__(self, *, part: str):
+        self._logger = logging.getLogger(f"{_ROOT}.{part}")
+
+    def debug(self, sentence: str, **fields: Any) -> None:
+        """Record detail for development."""
+        self._write(logging.DEBUG, sentence, fields)
+
+    def info(self, sentence: str, **fields: Any) -> None:
+        """Record a normal event."""
+        self._write(logging.INFO, sentence, fields)
+
+    def warning(self, sentence: str, **fields: Any) -> None:
+        """Record an event that the daemon handles but operators may care about."""
+        self._write(logging.WARNING, sentence, fields)
+
+    def error(self, sentence: str, **fields: Any) -> None:
+        """Record an event that needs an operator."""
+        self._write(logging.ERROR, sentence, fields)
+
+    def exception(self, sentence: str, **fields: Any) -> None:
+        """Record an unexpected error together with its stack trace."""
+        self._write(logging.ERROR, sentence, fields, with_traceback=True)
+
+    def _write(
+        self,
+        level: int,
+        sentence: str,
+        fields: dict[str, Any],
+        *,
+        with_traceback: bool = False,
+    ) -> None:
+        if not self._logger.isEnabledFor(level):
+            return
+        extra = {"fields": fields}
+        # The sentence is an argument, so that a percent sign in it is not a format.
+        self._logger.log(level, "%s", sentence, extra=extra, exc_info=with_traceback)
+
+
+def get_log(part: str) -> PartLog:
+    """Return the log of a part.
+
+    Parameters
+    ----------
+    part : str
+        Fixed prefix of the part.
+
+    Returns
+    -------
+    PartLog
+        The log; usable before `configure_logs`.
+    """
+    return PartLog(part=part)
+
+
+def configure_logs(
+    *,
+    secrets: Iterable[str] = (),
+    level: int = logging.INFO,
+    stream: TextIO | None = None,
+) -> None:
+    """Send all log records of the process to one stream.
+
+    Parameters
+    ----------
+    secrets : iterable of str
+        Texts that are replaced wherever they occur in a line.
+    level : int
+        Lowest level that is written.
+    stream : TextIO or None
+        Where lines go; None for standard error.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_LineFormatter(secrets=secrets))
+    root = logging.getLogger()
+    for earlier in list(root.handlers):
+        root.removeHandler(earlier)
+    root.addHandler(handler)
+    root.setLevel(level)
+    # Libraries log each connection or retry at lower levels.
+    for library in ("urllib3", "waitress", "pykka", "thrift"):
+        logging.getLogger(library).setLevel(max(level, logging.WARNING))
+    logging.captureWarnings(True)
+
+
+class _LineFormatter(logging.Formatter):
+    def __init__(self, *, secrets: Iterable[str]):
+        super().__init__()
+        # The longest first, so that a secret inside another leaves no remainder.
+        self._secrets = sorted(filter(None, secrets), key=len, reverse=True)
+
+    def format(self, record: logging.LogRecord) -> str:
+        parts = [
+            _format_time(record.created),
+            record.levelname,
+            record.name.removeprefix(f"{_ROOT}.") + ":",
+            _single_line(self._redact(record.getMessage())),
+        ]
+        for key, value in getattr(record, "fields", {}).items():
+            parts.append(f"{key}={self._format_value(value)}")
+        if record.exc_info and record.exc_info[1] is not None:
+            text = "".join(traceback.format_exception(record.exc_info[1]))
+            tail = text[-_TRACEBACK_CHARACTERS_MAX:]
+            parts.append(f"traceback={self._format_value(tail)}")
+        return " ".join(parts)
+
+    def _format_value(self, value: Any) -> str:
+        text = self._redact(str(value))
+        if _PLAIN_VALUE.fullmatch(text):
+            return text
+        return json.dumps(text)
+
+    def _redact(self, text: str) -> str:
+        for secret in self._secrets:
+            text = text.replace(secret, _REDACTED)
+        return text
+
+
+def _single_line(text: str) -> str:
+    if text.isprintable():
+        return text
+    return json.dumps(text, ensure_ascii=False)[1:-1]
+
+
+def _format_time(seconds: float) -> str:
+    moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+    return f"{moment}.{int(seconds * 1000) % 1000:03d}Z"
--- /dev/null
+++ b/packages/vanillapitch-daemon/tests/test_admin.py
@@ -0,0 +1,209 @@
+"""Tests of the administration API on a real server."""
+
+import threading
+import time
+
+import pytest
+from vanillapitch_core.outcome import RefusalCode
+from vanillapitch_core.tables import Pool
+from vanillapitch_daemon.admin import AdminServer
+from vanillapitch_daemon.settings import Address
+
+POOLS = [{"name": "catalog", "service": "catalog", "zones": ["gb-a"]}]
+
+
+def _change(**fields):
+    return {"base_revision": 1, "author": "ishikari", "pools": POOLS, **fields}
+
+
+@pytest.mark.parametrize("token", [None, "", "wrong", "operator-token-of-test", "é"])
+@pytest.mark.parametrize("path", ["/v1/tables", "/metrics", "/v1/none", "/healthz/"])
+def test_a_wrong_token_is_refused_everywhere(running_admin, path, token):
+    # Guards against tables, metrics or path names that anyone can read.
+    status, body = running_admin.request("GET", path, token=token)
+    assert (status, body["code"]) == (401, "unauthorized")
+
+
+def test_a_wrong_token_changes_nothing(running_admin):
+    # Guards against a change that is applied before the token is checked.
+    for method, path, body in [
+        ("PUT", "/v1/tables", _change()),
+        ("PUT", "/v1/zones/gb-a", {"in_service": False}),
+        ("PUT", "/v1/backend", {"state": "leaving"}),
+    ]:
+        assert running_admin.request(method, path, body, token="wrong")[0] == 401
+    assert running_admin.configuration.tables().revision == 1
+    assert running_admin.node.announced == []
+
+
+def test_health_and_readiness_need_no_token(running_admin):
+    # Guards against a platform that cannot check a daemon, and a constant "ready".
+    assert running_admin.request("GET", "/healthz", token=None)[0] == 200
+    assert running_admin.request("GET", "/readyz", token=None)[0] == 200
+    running_admin.node.reasons = ("no tables",)
+    status, body = running_admin.request("GET", "/readyz", token=None)
+    assert (status, body["reasons"]) == (503, ["no tables"])
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "expected"),
+    [
+        ("GET", "/v1/none", (404, "not_found")),
+        ("GET", "/v1/zones/gb-a", (405, "method_not_allowed")),
+        ("DELETE", "/v1/tables", (405, "method_not_allowed")),
+        ("GET", "/v1/tables/history?limit=0", (400, "bad_request")),
+        ("GET", "/v1/tables/history?limit=1e9", (400, "bad_request")),
+    ],
+)
+def test_unknown_paths_and_methods_have_problem_bodies(
+    running_admin, method, path, expected
+):
+    # Guards against an error that a program cannot tell from another.
+    status, body = running_admin.request(method, path)
+    assert (status, body["code"]) == expected
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "expected"),
+    [
+        ("/v1/tables", b"{", (400, None)),
+        ("/v1/tables", b'{"author": "\xff"}', (400, None)),
+        ("/v1/tables", _change(base_revision=-1), (422, "$.base_revision")),
+        ("/v1/tables", _change(zones_out=[]), (422, "$")),
+        ("/v1/tables", _change(pools=[{"name": "X"}]), (422, "$.pools[0].name")),
+        ("/v1/tables", _change(pools=[]), (422, "$.routes[0].pool")),
+        (
+            "/v1/tables",
+            _change(routes=[{"name": "r", "pool": "none"}]),
+            (422, "$.routes[0].pool"),
+        ),
+        ("/v1/zones/GB", {"in_service": False}, (422, "$.zone")),
+        ("/v1/zones/gb-a", {"in_service": "no"}, (422, "$.in_service")),
+        ("/v1/backend", {"state": "tired"}, (422, "$.state")),
+    ],
+)
+def test_an_invalid_body_names_the_field(running_admin, path, body, expected):
+    # Guards against a broken table that reaches the store.
+    status, problem = running_admin.request("PUT", path, body)
+    assert (status, problem.get("path")) == expected
+    assert running_admin.configuration.tables().revision == 1
+
+
+def test_a_change_is_applied_and_listed(running_admin):
+    # Guards against a lost author, change id or field in the history.
+    body = _change(change_id="change-of-test")
+    status, answer = running_admin.request("PUT", "/v1/tables", body)
+    assert (status, answer["tables"]["revision"]) == (200, 2)
+    _, history = running_admin.request("GET", "/v1/tables/history")
+    latest = history["history"][0]
+    assert (latest["author"], latest["change_id"]) == ("ishikari", "change-of-test")
+    assert latest["changes"] == [
+        {"path": "$.pools[catalog].zones", "before": [], "after": ["gb-a"]}
+    ]
+    _, short = running_admin.request("GET", "/v1/tables/history?limit=1")
+    assert short["history"] == [latest]
+
+
+def test_a_conflict_shows_who_changed_what(running_admin):
+    # Guards against an operator who cannot see what stands against the edit.
+    pools = (Pool(name="catalog", service="catalog", shed_status=429),)
+    running_admin.configuration.write("hanul", pools=pools)
+    status, problem = running_admin.request("PUT", "/v1/tables", _change())
+    assert (status, problem["code"]) == (409, "conflict")
+    assert problem["current"]["revision"] == 2
+    assert [entry["author"] for entry in problem["changes"]] == ["hanul"]
+    assert problem["changes"][0]["changes"][0]["path"] == "$.pools[catalog].shed_status"
+
+
+@pytest.mark.parametrize(
+    ("fault", "expected"),
+    [
+        ("unavailable", (503, "store_unavailable")),
+        ("unknown_applied", (504, "outcome_unknown")),
+    ],
+)
+def test_an_outage_of_the_store_is_reported_truthfully(running_admin, fault, expected):
+    # Guards against "done" for a change that is not certain.
+    running_admin.configuration.fault = fault
+    for path, body in [
+        ("/v1/tables", _change()),
+        ("/v1/zones/gb-a", {"in_service": False}),
+    ]:
+        status, problem = running_admin.request("PUT", path, body)
+        assert (status, problem["code"]) == expected
+        assert problem["change_id"]
+        running_admin.configuration.documents = running_admin.configuration.documents[
+            :1
+        ]
+
+
+def test_zones_go_out_and_come_back(running_admin):
+    # Guards against a zone list that hides a zone without members.
+    running_admin.node.zones = ["gb-b"]
+    assert running_admin.request("PUT", "/v1/zones/gb-a", {"in_service": False})
+    _, zones = running_admin.request("GET", "/v1/zones")
+    assert zones["zones"] == [
+        {"zone": "gb-a", "in_service": False, "members": 0},
+        {"zone": "gb-b", "in_service": True, "members": 1},
+    ]
+    running_admin.request("PUT", "/v1/zones/gb-a", {"in_service": True})
+    assert running_admin.configuration.tables().zones_out == ()
+
+
+def test_the_backend_server_announces_itself(running_admin):
+    # Guards against an announcement that reaches nobody.
+    for state in ("ready", "leaving"):
+        assert running_admin.request("PUT", "/v1/backend", {"state": state})[0] == 200
+    assert running_admin.node.announced == ["ready", "leaving"]
+
+
+def test_metrics_are_served(running_admin):
+    # Guards against a refusal code without a counter.
+    running_admin.metrics.count_refusal(RefusalCode.OVERLOADED)
+    status, text = running_admin.request("GET", "/metrics")
+    assert status == 200
+    for code in RefusalCode:
+        count = 1 if code is RefusalCode.OVERLOADED else 0
+        assert f'vanillapitch_refusals_total{{code="{code}"}} {count}\n' in text
+
+
+def test_an_internal_error_has_no_details_for_the_client(running_admin):
+    # Guards against a stack trace or a secret in an answer.
+    running_admin.configuration.tables = lambda: 1 / 0
+    status, body = running_admin.request("GET", "/v1/tables")
+    assert (status, body["code"]) == (500, "internal_error")
+    assert "zero" not in body["detail"]
+
+
+def test_stop_answers_the_request_that_is_running(running_admin):
+    # Guards against an operator's change whose answer is cut by a shutdown.
+    entered = threading.Event()
+
+    def slow_tables():
+        entered.set()
+        time.sleep(0.3)
+        return running_admin.configuration.documents[-1]
+
+    running_admin.configuration.tables = slow_tables
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(running_admin.request("GET", "/v1/tables"))
+    )
+    thread.start()
+    assert entered.wait(5)
+    running_admin.server.stop()
+    thread.join(5)
+    assert answers[0][0] == 200
+
+
+def test_an_address_in_use_fails_at_once(running_admin):
+    # Guards against a daemon that runs without its administration API.
+    with pytest.raises(OSError, match="in use"):
+        AdminServer(application=lambda *_: [], address=Address(running_admin.address))
+
+
+def test_a_server_that_never_started_releases_its_address(running_admin):
+    # Guards against a failed start that hangs or keeps the port.
+    address = Address(f"127.0.0.1:{running_admin.free_port()}")
+    for _ in range(2):
+        AdminServer(application=lambda *_: [], address=address).stop()
--- /dev/null
+++ b/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
@@ -0,0 +1,106 @@
+"""Tests of log lines and metrics."""
+
+import io
+import logging
+import re
+import threading
+
+import pytest
+from vanillapitch_daemon.logs import configure_logs, get_log
+from vanillapitch_daemon.metrics import Metrics
+
+SECRET = 'operator "token" of tests'
+
+
+@pytest.fixture
+def lines():
+    root = logging.getLogger()
+    earlier = (root.handlers[:], root.level)
+    stream = io.StringIO()
+    configure_logs(secrets=[SECRET, ""], stream=stream)
+    yield lambda: stream.getvalue().splitlines()
+    root.handlers[:], root.level = earlier[0], earlier[1]
+    logging.captureWarnings(False)
+
+
+def test_a_line_has_time_level_part_sentence_and_fields(lines):
+    # Guards against a line that a log collector cannot split.
+    get_log("ingress").info("Refused a call", code="overloaded", reason='a "b"\nc')
+    assert re.fullmatch(
+        r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z INFO ingress: Refused a call "
+        r'code=overloaded reason="a \\"b\\"\\nc"',
+        lines()[0],
+    )
+
+
+def test_secrets_stay_out_of_every_part_of_a_line(lines):
+    # Guards against a token in a field, a sentence, an error or a library's record.
+    log = get_log("admin")
+    log.warning(f"Got {SECRET}", token=SECRET, header=f"Bearer {SECRET}")
+    try:
+        raise ValueError(f"bad {SECRET}")
+    except ValueError as error:
+        log.exception("Request failed", error=error)
+    logging.getLogger("urllib3").error("sent %s", SECRET)
+    text = "\n".join(lines())
+    assert len(lines()) == 3
+    assert "token" not in text.replace("token=", "")
+    assert text.count("[redacted]") == 6
+
+
+def test_a_line_break_cannot_start_a_line_of_its_own(lines):
+    # Guards against a caller who writes lines into the log.
+    logging.getLogger("waitress").error("path %s", "/a\n2026 INFO admin: forged")
+    get_log("ingress").info("100% of %s", path="/\r\nforged")
+    assert len(lines()) == 2
+
+
+def test_counts_from_many_threads_are_exact():
+    # Guards against lost increments between threads.
+    metrics = Metrics()
+
+    def count():
+        for _ in range(500):
+            metrics.count_retry("overloaded")
+            metrics.observe_latency_ms("catalog", 3)
+            metrics.add_in_flight("owner", 1)
+            metrics.add_in_flight("owner", -1)
+
+    threads = [threading.Thread(target=count) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        metrics.render()
+        thread.join()
+    text = metrics.render().decode()
+    assert 'vanillapitch_retries_total{reason="overloaded"} 4000\n' in text
+    assert 'vanillapitch_in_flight{role="owner"} 0\n' in text
+    assert 'vanillapitch_latency_ms_bucket{le="2.0",pool="catalog"} 0.0\n' in text
+    assert 'vanillapitch_latency_ms_count{pool="catalog"} 4000.0\n' in text
+
+
+def test_gauges_and_sums_are_rendered():
+    # Guards against a metric that is documented but never rendered.
+    metrics = Metrics()
+    metrics.set_members({"alive": 3, "suspect": 1})
+    metrics.set_members({"alive": 4})
+    metrics.set_limit(12)
+    metrics.set_revision(7)
+    metrics.count_call("catalog")
+    metrics.count_claim("held")
+    metrics.count_store_call("transact", "ok")
+    metrics.add_gossip_bytes("sent", 1_400)
+    metrics.add_probe_ms(6.5)
+    lines = metrics.render().decode().splitlines()
+    for line in (
+        'members{state="alive"} 4',
+        'members{state="suspect"} 0',
+        "limit 12",
+        "tables_revision 7",
+        'calls_total{pool="catalog"} 1',
+        'claims_total{event="held"} 1',
+        'store_calls_total{kind="transact",result="ok"} 1',
+        'gossip_bytes_total{direction="sent"} 1400',
+        "probe_ms_total 6.5",
+    ):
+        assert f"vanillapitch_{line}" in lines
