--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_deployments.py
@@ -0,0 +1,94 @@
+"""Deployments that the fleet launcher knows."""
+
+import dataclasses
+
+from vanillapitch_core.tables import Pool, Route, Tables
+
+__all__ = ["DEPLOYMENTS", "Deployment", "Service", "tables_of"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A service with its endpoints and the kind of its calls.
+
+    Attributes
+    ----------
+    kind : str
+        ``read``, ``keyed`` or ``upload``; what callers send to it.
+    """
+
+    name: str
+    endpoints: int
+    kind: str
+    service_ms: float = 8.0
+    priority: int = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """Zones, services and sizes of a fleet."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    services: tuple[Service, ...]
+    slots: int
+    connections: int = 200
+
+
+HANUL = Deployment(
+    name="hanul",
+    region="gyeongbuk",
+    zones=("gb-a", "gb-b", "gb-c"),
+    services=(
+        Service(name="catalog", endpoints=4, kind="read"),
+        Service(name="reserve", endpoints=3, kind="keyed", priority=8),
+        Service(name="workshop", endpoints=3, kind="upload", service_ms=25.0),
+    ),
+    slots=12,
+)
+
+ISHIKARI = Deployment(
+    name="ishikari",
+    region="hokkaido",
+    zones=("hk-a", "hk-b", "hk-c", "hk-d"),
+    services=(
+        Service(name="ticket-desk", endpoints=4, kind="read"),
+        Service(name="bale-ledger", endpoints=4, kind="keyed", priority=8),
+        Service(name="yard-intake", endpoints=4, kind="upload", service_ms=25.0),
+    ),
+    slots=18,
+)
+
+# For tests: the fewest processes that still leave each service two zones.
+SMALL = Deployment(
+    name="small",
+    region="gyeongbuk",
+    zones=("gb-a", "gb-b"),
+    services=(
+        Service(name="catalog", endpoints=2, kind="read"),
+        Service(name="reserve", endpoints=2, kind="keyed", priority=8),
+    ),
+    slots=8,
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (HANUL, ISHIKARI, SMALL)}
+
+
+def tables_of(deployment: Deployment) -> Tables:
+    """Return the routes and pools of a deployment: a path prefix for each service."""
+    return Tables(
+        routes=tuple(
+            Route(
+                name=service.name,
+                path_prefix=f"/{service.name}",
+                pool=service.name,
+                priority=service.priority,
+            )
+            for service in deployment.services
+        ),
+        pools=tuple(
+            Pool(name=service.name, service=service.name)
+            for service in deployment.services
+        ),
+    )
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
@@ -0,0 +1,397 @@
+"""Start, control and stop of all processes of a fleet."""
+
+import contextlib
+import json
+import os
+import pathlib
+import random
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+
+import urllib3
+from vanillapitch_core.tables import encode_tables
+
+from vanillapitch_testbed.backend import JournalEntry, read_journal_file
+from vanillapitch_testbed.fleet._clients import admin_request, control_request
+from vanillapitch_testbed.fleet._deployments import Deployment, tables_of
+from vanillapitch_testbed.fleet._process import ManagedProcess, wait_until
+from vanillapitch_testbed.fleet._vm import Vm
+from vanillapitch_testbed.fleet.exceptions import FleetError
+
+__all__ = ["ADMIN_TOKEN", "Fleet"]
+
+ADMIN_TOKEN = "operator-token-of-the-testbed"
+CLUSTER_KEY = "cluster-key-of-the-testbed-0123456789"
+_RESERVATION_PORT = 7_999
+_STORE_PORT = 2_379
+_STORE_PROXY_PORT = 12_379
+_PROXY_CONTROL_PORT = 7_000
+_FIRST_VM_HOST = 10
+_READY_TIMEOUT_S = 30.0
+_ADOPTED_TIMEOUT_S = 10.0
+_STOP_TIMEOUT_S = 10.0
+_CLI_TIMEOUT_S = 30.0
+_SUBNET_ATTEMPTS = 50
+
+
+class Fleet:
+    """All processes of a deployment; a context manager that stops them.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    proxied : bool
+        Whether to put the fault proxy before the store and the backend servers.
+    seed : int
+        Seed of the backend servers and the proxy.
+    limits : dict
+        Fields of the settings' ``limits``.
+    backend_options : dict
+        Command line options of the backend servers, by name.
+    directory : pathlib.Path, optional
+        For settings, logs and journals; a temporary one by default.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        proxied: bool = False,
+        seed: int = 1,
+        limits: dict | None = None,
+        backend_options: dict | None = None,
+        directory: pathlib.Path | None = None,
+    ):
+        self.deployment = deployment
+        self.proxied = proxied
+        self.seed = seed
+        self._limits = limits or {}
+        self._backend_options = backend_options or {}
+        self._temporary = directory is None
+        self.directory = directory or pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self._reservation, self._subnet = _reserve_subnet()
+        self.vms = self._make_vms()
+        self.store = self._make_process("store", self._store_command())
+        self.proxy: ManagedProcess | None = None
+        if proxied:
+            self.proxy = self._make_process("proxy", self._proxy_command())
+        for vm in self.vms:
+            self._write_settings(vm)
+
+    def __enter__(self) -> "Fleet":
+        """Start the fleet, and stop it again when a part fails to start."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, exc_type, exc_value, traceback) -> None:
+        """Stop the fleet."""
+        if exc_type is not None:
+            print(self.log_tails(), file=sys.stderr)
+        self.stop()
+
+    @property
+    def store_address(self) -> str:
+        """Address of the store itself."""
+        return f"{self._subnet}.1:{_STORE_PORT}"
+
+    @property
+    def proxy_control(self) -> str:
+        """Control address of the proxy."""
+        return f"{self._subnet}.1:{_PROXY_CONTROL_PORT}"
+
+    @property
+    def processes(self) -> list[ManagedProcess]:
+        """All processes, the daemons first."""
+        processes = [vm.daemon for vm in self.vms] + [vm.backend for vm in self.vms]
+        return processes + [process for process in (self.proxy, self.store) if process]
+
+    def start(self) -> None:
+        """Start all processes, wait until they are ready and load the tables."""
+        self.store.start()
+        self._wait_listening(self.store, self.store_address)
+        if self.proxy is not None:
+            self.proxy.start()
+            self._wait_listening(self.proxy, self.proxy_control)
+        for vm in self.vms:
+            vm.backend.start()
+        for vm in self.vms:
+            vm.daemon.start()
+        for vm in self.vms:
+            self.wait_ready(vm)
+        self.load_tables()
+
+    def stop(self) -> None:
+        """Stop every process that this fleet started, and remove its files."""
+        stopping = [
+            threading.Thread(target=process.terminate, args=(_STOP_TIMEOUT_S,))
+            for process in self.processes
+        ]
+        for thread in stopping:
+            thread.start()
+        for thread in stopping:
+            thread.join()
+        self._reservation.close()
+        if self._temporary:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    def wait_ready(self, vm: Vm) -> None:
+        """Wait until the daemon of a VM answers that it is ready.
+
+        Raises
+        ------
+        FleetError
+            If the daemon ends, or is not ready within 30 s.
+        """
+        ready = wait_until(
+            lambda: not vm.daemon.is_running() or self._is_ready(vm),
+            timeout_s=_READY_TIMEOUT_S,
+        )
+        if not ready or not vm.daemon.is_running():
+            raise FleetError(f"{vm.name} is not ready:\n{vm.daemon.log_tail()}")
+
+    def load_tables(self) -> None:
+        """Apply the deployment's tables by the command line, wait for adoption.
+
+        Raises
+        ------
+        FleetError
+            If the command fails or a daemon does not adopt the tables.
+        """
+        tables = json.loads(encode_tables(tables_of(self.deployment)))
+        for name in ("pools", "routes"):
+            path = self.directory / f"{name}.json"
+            path.write_text(json.dumps(tables[name]))
+            result = self.run_cli(name, "apply", str(path))
+            if result.returncode:
+                raise FleetError(f"{name} apply: {result.stdout}{result.stderr}")
+        revision = self.status(self.vms[0])["revision"]
+        self.wait_revision(revision)
+
+    def wait_revision(self, revision: int, timeout_s: float = _ADOPTED_TIMEOUT_S):
+        """Wait until every running daemon has a revision or a higher one."""
+        adopted = wait_until(
+            lambda: all(
+                (self.status(vm) or {}).get("revision", 0) >= revision
+                for vm in self.vms
+                if vm.daemon.is_running() and not vm.daemon.stopped
+            ),
+            timeout_s=timeout_s,
+        )
+        if not adopted:
+            raise FleetError(f"revision {revision} is not in force everywhere")
+
+    def run_cli(
+        self, *arguments: str, vm: Vm | None = None
+    ) -> subprocess.CompletedProcess:
+        """Run the command line `vanillapitch` against a daemon."""
+        environment = dict(
+            os.environ,
+            VANILLAPITCH_ADMIN=(vm or self.vms[0]).admin,
+            VANILLAPITCH_TOKEN=ADMIN_TOKEN,
+        )
+        return subprocess.run(
+            [_program("vanillapitch"), *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=_CLI_TIMEOUT_S,
+            stdin=subprocess.DEVNULL,
+        )
+
+    def status(self, vm: Vm) -> dict | None:
+        """Return a daemon's status, or None when it does not answer."""
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            response = admin_request(
+                vm.admin, "GET", "/v1/status", token=ADMIN_TOKEN, timeout_s=2.0
+            )
+            if response.status == 200:
+                return response.json()
+        return None
+
+    def set_zone(self, zone: str, *, in_service: bool, vm: Vm | None = None):
+        """Take a zone out of service or back, and return the response."""
+        return admin_request(
+            (vm or self.vms[0]).admin,
+            "PUT",
+            f"/v1/zones/{zone}",
+            token=ADMIN_TOKEN,
+            document={"in_service": in_service},
+        )
+
+    def set_scenario(self, vm: Vm, **fields) -> None:
+        """Set the faults of a backend server; the others are switched off."""
+        control_request(vm.control, "PUT", "/scenario", fields)
+
+    def turn_cold(self, vm: Vm) -> None:
+        """Turn a backend server cold."""
+        control_request(vm.control, "POST", "/cold")
+
+    def announce(self, vm: Vm, state: str) -> None:
+        """Let a backend server announce a state to its daemon."""
+        document = {"admin": vm.admin, "token": ADMIN_TOKEN, "state": state}
+        answer = control_request(vm.control, "PUT", "/announce", document)
+        if answer["status"] >= 300:
+            raise FleetError(f"{vm.name} was refused the state {state}: {answer}")
+
+    def set_faults(self, link: str, **fields) -> None:
+        """Set the faults of a proxy link; the others are switched off."""
+        control_request(self.proxy_control, "PUT", f"/links/{link}", fields)
+
+    def cut_link(self, link: str) -> None:
+        """Reset the open connections of a proxy link."""
+        control_request(self.proxy_control, "POST", f"/links/{link}/cut")
+
+    def counters(self, vm: Vm) -> dict:
+        """Return the counters of a backend server's process."""
+        return control_request(vm.control, "GET", "/stats")
+
+    def journal(self) -> list[JournalEntry]:
+        """Return the journals of all backend servers, over all their starts."""
+        entries = []
+        for vm in self.vms:
+            entries += read_journal_file(vm.journal_path)
+        return sorted(entries, key=lambda entry: entry.began_ms)
+
+    def log_tails(self) -> str:
+        """Return the last lines of the logs of all processes."""
+        return "\n".join(
+            f"--- {process.name}\n{process.log_tail()}" for process in self.processes
+        )
+
+    def _is_ready(self, vm: Vm) -> bool:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            response = admin_request(
+                vm.admin, "GET", "/readyz", token=ADMIN_TOKEN, timeout_s=1.0
+            )
+            return response.status == 200
+        return False
+
+    def _wait_listening(self, process: ManagedProcess, address: str) -> None:
+        def is_listening() -> bool:
+            host, _, port = address.rpartition(":")
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 0.5).close()
+                return True
+            return not process.is_running()
+
+        wait_until(is_listening, timeout_s=_READY_TIMEOUT_S)
+        if not process.is_running():
+            raise FleetError(f"{process.name} ended:\n{process.log_tail()}")
+
+    def _make_vms(self) -> list[Vm]:
+        vms = []
+        zones = self.deployment.zones
+        for service in self.deployment.services:
+            for index in range(service.endpoints):
+                vm = Vm(
+                    name=f"{service.name}-{index + 1}",
+                    ip=f"{self._subnet}.{_FIRST_VM_HOST + len(vms)}",
+                    zone=zones[index % len(zones)],
+                    service=service,
+                    directory=self.directory,
+                )
+                vm.backend = self._make_process(
+                    f"{vm.name}-backend", self._backend_command(vm)
+                )
+                vm.daemon = self._make_process(f"{vm.name}-daemon", _daemon_command(vm))
+                vms.append(vm)
+        return vms
+
+    def _make_process(self, name: str, command: list[str]) -> ManagedProcess:
+        log_path = self.directory / f"{name}.log"
+        return ManagedProcess(name=name, command=command, log_path=log_path)
+
+    def _store_command(self) -> list[str]:
+        module = "vanillapitch_testbed.store"
+        return [sys.executable, "-m", module, "--listen", self.store_address]
+
+    def _proxy_command(self) -> list[str]:
+        command = [sys.executable, "-m", "vanillapitch_testbed.proxy"]
+        command += ["--control", self.proxy_control, "--seed", str(self.seed)]
+        listen = f"{self._subnet}.1:{_STORE_PROXY_PORT}"
+        command += ["--link", f"store,tcp,{listen},{self.store_address}"]
+        for vm in self.vms:
+            link = f"{vm.name},tcp,{vm.backend_proxy},{vm.backend_address}"
+            command += ["--link", link]
+            link = f"{vm.name}-callers,tcp,{vm.callers_proxy},{vm.callers}"
+            command += ["--link", link]
+        return command
+
+    def _backend_command(self, vm: Vm) -> list[str]:
+        options = {
+            "listen": vm.backend_address,
+            "control": vm.control,
+            "journal_file": str(vm.journal_path),
+            "announce_to": vm.admin,
+            "token": ADMIN_TOKEN,
+            "name": vm.name,
+            "slots": self.deployment.slots,
+            "connections": self.deployment.connections,
+            "service_ms": vm.service.service_ms,
+            "seed": self.seed,
+        }
+        options.update(self._backend_options)
+        command = [sys.executable, "-m", "vanillapitch_testbed.backend"]
+        for name, value in options.items():
+            command += ["--" + name.replace("_", "-"), str(value)]
+        return command
+
+    def _write_settings(self, vm: Vm) -> None:
+        store = self.store_address
+        if self.proxied:
+            store = f"{self._subnet}.1:{_STORE_PROXY_PORT}"
+        others = [other.gossip for other in self.vms if other is not vm]
+        settings = {
+            "instance": {"zone": vm.zone, "region": self.deployment.region},
+            "listen": {
+                "callers": vm.callers,
+                "peers": vm.peers,
+                "gossip": vm.gossip,
+                "admin": vm.admin,
+            },
+            "backend": {
+                "address": vm.backend_proxy if self.proxied else vm.backend_address,
+                "service": vm.service.name,
+                "slots": self.deployment.slots,
+                "connections": self.deployment.connections,
+            },
+            "platform": {"addresses": [store]},
+            "seeds": others[:3],
+            "secrets": {"cluster_key": CLUSTER_KEY, "admin_token": ADMIN_TOKEN},
+            "limits": self._limits,
+        }
+        vm.settings_path.write_text(json.dumps(settings, indent=2))
+
+
+def _daemon_command(vm: Vm) -> list[str]:
+    return [_program("vanillapitchd"), "--settings", str(vm.settings_path)]
+
+
+def _program(name: str) -> str:
+    return str(pathlib.Path(sys.executable).parent / name)
+
+
+def _reserve_subnet() -> tuple[socket.socket, str]:
+    """Find a loopback subnet that no other fleet uses, and hold a port of it."""
+    choice = random.SystemRandom()
+    for _ in range(_SUBNET_ATTEMPTS):
+        subnet = f"127.{choice.randrange(64, 128)}.{choice.randrange(256)}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{subnet}.1", _RESERVATION_PORT))
+            reservation.listen(1)
+        except OSError:
+            reservation.close()
+        else:
+            return reservation, subnet
+    raise FleetError("no free loopback subnet")
