Add the soak and tests of the stand-ins

The soak applies random faults, several at once, to a real fleet behind the fault proxy and checks the journals. The tests of the stand-ins found that a cold backend server bore one request more than its limit, because the limit was not rounded down; it is now. The soak has not run against a daemon yet.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/backend/_server.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/backend/_server.py
@@ -150,7 +150,7 @@
         if warmth >= 1.0:
             return float("inf")
         cold_limit = self.options.cold_limit
-        return cold_limit + (self.options.slots - cold_limit) * warmth
+        return cold_limit + int((self.options.slots - cold_limit) * warmth)
 
     def _admit(self, work: _Work) -> None:
         timeout_ms = _int(work.request.headers.get("request-timeout-ms"))
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
@@ -46,7 +46,10 @@
     deployment : Deployment
         What to start.
     proxied : bool
-        Whether to put the fault proxy before the store and the backend servers.
+        Whether to put the fault proxy before the store, before the callers' address
+        of each daemon and before the peers' and gossip addresses of every second
+        daemon. The others are reached directly, so that refused connections and
+        connections that end after they were accepted both occur.
     seed : int
         Seed of the backend servers and the proxy.
     limits : dict
@@ -218,6 +221,34 @@
                 return response.json()
         return None
 
+    def restart_daemon(self, vm: Vm) -> None:
+        """Start the daemon of a VM again, with its backend server announced."""
+        vm.daemon.start()
+        self.announce_until_taken(vm)
+        self.wait_ready(vm)
+
+    def announce_until_taken(self, vm: Vm) -> None:
+        """Announce a backend server as ready to a daemon that is starting.
+
+        Raises
+        ------
+        FleetError
+            If the daemon does not take the announcement within 30 s.
+        """
+
+        def is_taken() -> bool:
+            if not vm.daemon.is_running():
+                raise FleetError(f"{vm.name} ended:\n{vm.daemon.log_tail()}")
+            if not vm.backend.is_running():
+                return True  # it announces itself when it is started
+            with contextlib.suppress(FleetError):
+                self.announce(vm, "ready")
+                return True
+            return False
+
+        if not wait_until(is_taken, timeout_s=_READY_TIMEOUT_S, interval_s=0.2):
+            raise FleetError(f"{vm.name} does not take its backend server")
+
     def set_zone(self, zone: str, *, in_service: bool, vm: Vm | None = None):
         """Take a zone out of service or back, and return the response."""
         return admin_request(
@@ -228,6 +259,28 @@
             document={"in_service": in_service},
         )
 
+    def tables(self, vm: Vm) -> dict:
+        """Return the tables in force at a daemon.
+
+        Raises
+        ------
+        FleetError
+            If the daemon refuses.
+        """
+        response = admin_request(vm.admin, "GET", "/v1/tables", token=ADMIN_TOKEN)
+        if response.status != 200:
+            raise FleetError(f"GET /v1/tables: {response.status}")
+        return response.json()
+
+    def put_tables(self, vm: Vm, *, base: dict, **fields):
+        """Change tables that were read before, and return the response."""
+        document = {"base_revision": base["revision"]}
+        document.update(pools=base["pools"], routes=base["routes"])
+        document.update(fields)
+        return admin_request(
+            vm.admin, "PUT", "/v1/tables", token=ADMIN_TOKEN, document=document
+        )
+
     def set_scenario(self, vm: Vm, **fields) -> None:
         """Set the faults of a backend server; the others are switched off."""
         control_request(vm.control, "PUT", "/scenario", fields)
@@ -299,6 +352,7 @@
                     zone=zones[index % len(zones)],
                     service=service,
                     directory=self.directory,
+                    proxied=self.proxied and len(vms) % 2 == 1,
                 )
                 vm.backend = self._make_process(
                     f"{vm.name}-backend", self._backend_command(vm)
@@ -321,10 +375,13 @@
         listen = f"{self._subnet}.1:{_STORE_PROXY_PORT}"
         command += ["--link", f"store,tcp,{listen},{self.store_address}"]
         for vm in self.vms:
-            link = f"{vm.name},tcp,{vm.backend_proxy},{vm.backend_address}"
-            command += ["--link", link]
             link = f"{vm.name}-callers,tcp,{vm.callers_proxy},{vm.callers}"
             command += ["--link", link]
+            if vm.proxied:
+                link = f"{vm.name}-peers,tcp,{vm.peers},{vm.shifted_peers}"
+                command += ["--link", link]
+                link = f"{vm.name}-gossip,udp,{vm.gossip},{vm.shifted_gossip}"
+                command += ["--link", link]
         return command
 
     def _backend_command(self, vm: Vm) -> list[str]:
@@ -360,7 +417,7 @@
                 "admin": vm.admin,
             },
             "backend": {
-                "address": vm.backend_proxy if self.proxied else vm.backend_address,
+                "address": vm.backend_address,
                 "service": vm.service.name,
                 "slots": self.deployment.slots,
                 "connections": self.deployment.connections,
@@ -374,6 +431,9 @@
 
 
 def _daemon_command(vm: Vm) -> list[str]:
+    if vm.proxied:
+        module = "vanillapitch_testbed.fleet._shifted_daemon"
+        return [sys.executable, "-m", module, "--settings", str(vm.settings_path)]
     return [_program("vanillapitchd"), "--settings", str(vm.settings_path)]
 
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_vm.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_vm.py
@@ -6,7 +6,7 @@
 from vanillapitch_testbed.fleet._deployments import Service
 from vanillapitch_testbed.fleet._process import ManagedProcess
 
-__all__ = ["Vm"]
+__all__ = ["SHIFT", "Vm"]
 
 _CALLERS_PORT = 8_000
 _PEERS_PORT = 8_001
@@ -14,18 +14,26 @@
 _ADMIN_PORT = 8_003
 _BACKEND_PORT = 9_000
 _CONTROL_PORT = 9_001
-_PROXY_PORT_OFFSET = 1_000
+# Distance between the port of a proxy and the port behind it.
+SHIFT = 10_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Vm:
-    """Addresses and processes of a VM."""
+    """Addresses and processes of a VM.
+
+    Attributes
+    ----------
+    proxied : bool
+        Whether the daemon's addresses for peers and gossip are those of the proxy.
+    """
 
     name: str
     ip: str
     zone: str
     service: Service
     directory: pathlib.Path
+    proxied: bool = False
     daemon: ManagedProcess | None = None
     backend: ManagedProcess | None = None
 
@@ -54,15 +62,20 @@
         """Address of the backend server itself."""
         return f"{self.ip}:{_BACKEND_PORT}"
 
-    @property
-    def backend_proxy(self) -> str:
-        """Address of the proxy in front of the backend server."""
-        return f"{self.ip}:{_BACKEND_PORT + _PROXY_PORT_OFFSET}"
-
     @property
     def callers_proxy(self) -> str:
         """Address of the proxy in front of the daemon's address for callers."""
-        return f"{self.ip}:{_CALLERS_PORT + _PROXY_PORT_OFFSET + 500}"
+        return f"{self.ip}:{_CALLERS_PORT + SHIFT}"
+
+    @property
+    def shifted_peers(self) -> str:
+        """Address that a daemon behind the proxy listens on instead of `peers`."""
+        return f"{self.ip}:{_PEERS_PORT + SHIFT}"
+
+    @property
+    def shifted_gossip(self) -> str:
+        """Address that a daemon behind the proxy listens on instead of `gossip`."""
+        return f"{self.ip}:{_GOSSIP_PORT + SHIFT}"
 
     @property
     def control(self) -> str:
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
@@ -0,0 +1,353 @@
+"""Faults that a soak applies and takes back."""
+
+import dataclasses
+import random
+import signal
+import threading
+from collections.abc import Callable
+
+import urllib3
+from vanillapitch_core import SystemClock
+
+from vanillapitch_testbed.checks import Violation, Window
+from vanillapitch_testbed.fleet import Fleet, FleetError, Vm
+
+__all__ = ["FAULTS", "POISON", "ActiveFault", "FaultContext"]
+
+# Backend servers crash on a request whose target contains this text.
+POISON = "poison="
+_CLOCK = SystemClock()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class FaultContext:
+    """What faults act on and what they record.
+
+    Attributes
+    ----------
+    windows : list of Window
+        Times in which backend servers must get no new work.
+    subjects : set of str
+        What has a fault at present.
+    violations : list of Violation
+        Found while a fault is applied or taken back.
+    """
+
+    fleet: Fleet
+    choice: random.Random
+    windows: list[Window] = dataclasses.field(default_factory=list)
+    violations: list[Violation] = dataclasses.field(default_factory=list)
+    counters_by_vm: dict[str, list[dict]] = dataclasses.field(default_factory=dict)
+    subjects: set[str] = dataclasses.field(default_factory=set)
+
+    def pick_vm(self, part: str) -> Vm:
+        """Choose a VM whose `part` (``backend`` or ``daemon``) has no fault.
+
+        Raises
+        ------
+        FleetError
+            If there is none.
+        """
+        vms = [
+            vm
+            for vm in self.fleet.vms
+            if f"{part}:{vm.name}" not in self.subjects
+            and getattr(vm, part).is_running()
+        ]
+        if not vms:
+            raise FleetError(f"no {part} without a fault")
+        return self.choice.choice(vms)
+
+    def require_free(self, subject: str) -> None:
+        """Raise FleetError when a subject has a fault."""
+        if subject in self.subjects:
+            raise FleetError(f"{subject} has a fault")
+
+    def keep_counters(self, vm: Vm) -> None:
+        """Keep a backend server's counters before its process ends."""
+        try:
+            counters = self.fleet.counters(vm)
+        except FleetError:
+            return
+        self.counters_by_vm.setdefault(vm.name, []).append(counters)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ActiveFault:
+    """A fault in force; `undo` takes it back, `subject` has one fault at a time."""
+
+    name: str
+    subject: str
+    duration_s: float
+    undo: Callable[[], None]
+
+
+def _scenario_fault(name: str, make_fields: Callable[[random.Random], dict]):
+    def apply(context: FaultContext) -> ActiveFault:
+        vm = context.pick_vm("backend")
+        fields = make_fields(context.choice)
+        _set_scenario(context, vm, **fields)
+        return ActiveFault(
+            name=f"{name} {vm.name}",
+            subject=f"backend:{vm.name}",
+            duration_s=context.choice.uniform(0.5, 4.0),
+            undo=lambda: _set_scenario(context, vm),
+        )
+
+    return apply
+
+
+def _set_scenario(context: FaultContext, vm: Vm, **fields) -> None:
+    if vm.backend.is_running():
+        context.fleet.set_scenario(vm, crash_on=POISON, **fields)
+
+
+def _turn_cold(context: FaultContext) -> ActiveFault:
+    vm = context.pick_vm("backend")
+    context.fleet.turn_cold(vm)
+    return ActiveFault(
+        name=f"cold {vm.name}",
+        subject=f"backend:{vm.name}",
+        duration_s=1.0,
+        undo=lambda: None,
+    )
+
+
+def _kill_backend(context: FaultContext) -> ActiveFault:
+    vm = context.pick_vm("backend")
+    context.keep_counters(vm)
+    vm.backend.kill()
+    return ActiveFault(
+        name=f"kill backend {vm.name}",
+        subject=f"backend:{vm.name}",
+        duration_s=0.1,
+        undo=lambda: None,  # the soak starts ended backend servers again
+    )
+
+
+def _leave(context: FaultContext) -> ActiveFault:
+    fleet, vm = context.fleet, context.pick_vm("backend")
+    fleet.announce(vm, "leaving")
+    process_ids = (vm.backend.pid, vm.daemon.pid)
+    left_ms = _CLOCK.wall_ms()
+
+    def undo() -> None:
+        # A process that was started again has announced the backend server as ready.
+        if (vm.backend.pid, vm.daemon.pid) == process_ids:
+            _close_window(context, "I7", {vm.name}, left_ms)
+        if vm.daemon.is_running():
+            fleet.announce_until_taken(vm)
+
+    return ActiveFault(
+        name=f"leave {vm.name}",
+        subject=f"backend:{vm.name}",
+        duration_s=context.choice.uniform(4.0, 7.0),
+        undo=undo,
+    )
+
+
+def _close_window(context, invariant: str, servers: set[str], began_ms: int) -> None:
+    window = Window(
+        invariant=invariant,
+        servers=frozenset(servers),
+        began_ms=began_ms,
+        ended_ms=_CLOCK.wall_ms(),
+    )
+    context.windows.append(window)
+
+
+def _pause_daemon(context: FaultContext) -> ActiveFault:
+    vm = context.pick_vm("daemon")
+    vm.daemon.send_signal(signal.SIGSTOP)
+    return ActiveFault(
+        name=f"pause daemon {vm.name}",
+        subject=f"daemon:{vm.name}",
+        duration_s=context.choice.choice([0.3, 1.0, 3.0, 6.0]),
+        undo=lambda: vm.daemon.send_signal(signal.SIGCONT),
+    )
+
+
+def _kill_daemon(context: FaultContext) -> ActiveFault:
+    vm = context.pick_vm("daemon")
+    vm.daemon.kill()
+    return ActiveFault(
+        name=f"kill daemon {vm.name}",
+        subject=f"daemon:{vm.name}",
+        duration_s=context.choice.uniform(0.2, 3.0),
+        undo=lambda: context.fleet.restart_daemon(vm),
+    )
+
+
+def _stop_daemon(context: FaultContext) -> ActiveFault:
+    vm = context.pick_vm("daemon")
+    left_ms = _CLOCK.wall_ms()
+    vm.daemon.send_signal(signal.SIGTERM)
+
+    def undo() -> None:
+        code = vm.daemon.terminate(15.0)
+        if code:
+            detail = f"the daemon of {vm.name} stopped with exit code {code}"
+            context.violations.append(Violation(invariant="I8", detail=detail))
+        _close_window(context, "I7", {vm.name}, left_ms)
+        context.fleet.restart_daemon(vm)
+
+    return ActiveFault(
+        name=f"stop daemon {vm.name}",
+        subject=f"daemon:{vm.name}",
+        duration_s=context.choice.uniform(1.0, 5.0),
+        undo=undo,
+    )
+
+
+def _link_fault(name: str, kinds: tuple[str, ...], make_fields, *, longest_s: float):
+    def apply(context: FaultContext) -> ActiveFault:
+        fleet = context.fleet
+        kind = context.choice.choice(kinds)
+        link = kind
+        if kind != "store":
+            vms = fleet.vms
+            if kind in ("peers", "gossip"):
+                vms = [vm for vm in vms if vm.proxied]
+            link = f"{context.choice.choice(vms).name}-{kind}"
+        context.require_free(f"link:{link}")
+        fleet.set_faults(link, **make_fields(context.choice))
+        return ActiveFault(
+            name=f"{name} {link}",
+            subject=f"link:{link}",
+            duration_s=context.choice.uniform(0.5, longest_s),
+            undo=lambda: fleet.set_faults(link),
+        )
+
+    return apply
+
+
+def _cut_link(context: FaultContext) -> ActiveFault:
+    fleet = context.fleet
+    vm = context.choice.choice([vm for vm in fleet.vms if vm.proxied])
+    link = f"{vm.name}-{context.choice.choice(['peers', 'callers'])}"
+    context.require_free(f"link:{link}")
+    fleet.cut_link(link)
+    return ActiveFault(
+        name=f"cut {link}", subject=f"link:{link}", duration_s=0.2, undo=lambda: None
+    )
+
+
+def _zone_out(context: FaultContext) -> ActiveFault:
+    fleet = context.fleet
+    context.require_free("zones")
+    zone = context.choice.choice(fleet.deployment.zones)
+    operator_vm = _running_vm(context)
+    response = fleet.set_zone(zone, in_service=False, vm=operator_vm)
+    out_ms = _CLOCK.wall_ms()
+    servers = {vm.name for vm in fleet.vms if vm.zone == zone}
+
+    def undo() -> None:
+        if response.status == 200:
+            _close_window(context, "I3", servers, out_ms)
+        _zone_in(context, zone)
+
+    return ActiveFault(
+        name=f"zone out {zone} ({response.status})",
+        subject="zones",
+        duration_s=context.choice.uniform(4.0, 8.0),
+        undo=undo,
+    )
+
+
+def _zone_in(context: FaultContext, zone: str) -> None:
+    """Bring a zone back; raise FleetError when it is refused, to be tried again."""
+    response = context.fleet.set_zone(zone, in_service=True, vm=_running_vm(context))
+    if response.status != 200:
+        raise FleetError(f"zone in {zone}: {response.status}")
+
+
+def _running_vm(context: FaultContext) -> Vm:
+    vms = [vm for vm in context.fleet.vms if vm.daemon.is_running()]
+    vms = [vm for vm in vms if not vm.daemon.stopped] or context.fleet.vms
+    return context.choice.choice(vms)
+
+
+def _race_operators(context: FaultContext) -> ActiveFault:
+    """Let two operators change the same revision at once; at most one may win."""
+    first, second = _running_vm(context), _running_vm(context)
+    statuses: list[int] = []
+    base = context.fleet.tables(first)
+    threads = [
+        threading.Thread(target=_change_timeout, args=(context, vm, base, statuses))
+        for vm in (first, second)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if statuses.count(200) > 1:
+        detail = f"two operators changed revision {base['revision']}"
+        context.violations.append(Violation(invariant="I9", detail=detail))
+    return ActiveFault(
+        name=f"racing operators {sorted(statuses)}",
+        subject="operators",
+        duration_s=0.5,
+        undo=lambda: None,
+    )
+
+
+def _change_timeout(context: FaultContext, vm: Vm, base: dict, statuses) -> None:
+    timeout_ms = 10_000 + threading.get_ident() % 1_000
+    routes = [dict(route, timeout_ms=timeout_ms) for route in base["routes"]]
+    try:
+        response = context.fleet.put_tables(vm, base=base, routes=routes)
+    except urllib3.exceptions.HTTPError:
+        statuses.append(0)
+    else:
+        statuses.append(response.status)
+
+
+FAULTS = (
+    _scenario_fault("straggle", lambda c: {"straggler_factor": c.uniform(3, 20)}),
+    _scenario_fault("fail fast", lambda c: {"fail_status": c.choice([500, 503])}),
+    _scenario_fault("shed", lambda c: {"shed": True}),
+    _scenario_fault("drain", lambda c: {"drain": True}),
+    _scenario_fault("stall", lambda c: {"stall": True}),
+    _scenario_fault("cut answers", lambda c: {"cut_answers": True}),
+    _scenario_fault("late", lambda c: {"late_ms": c.uniform(100, 2_000)}),
+    _turn_cold,
+    _kill_backend,
+    _leave,
+    _pause_daemon,
+    _kill_daemon,
+    _stop_daemon,
+    _link_fault("down", ("store",), lambda c: {"refuse": True}, longest_s=6.0),
+    _link_fault(
+        "slow",
+        ("store", "peers", "gossip"),
+        lambda c: {"delay_ms": c.uniform(20, 800), "jitter_ms": 100.0},
+        longest_s=6.0,
+    ),
+    _link_fault(
+        "lost answers",
+        ("store", "peers"),
+        lambda c: {"lose_answer_share": c.uniform(0.1, 0.6)},
+        longest_s=5.0,
+    ),
+    _link_fault(
+        "black hole",
+        ("store", "peers", "gossip", "callers"),
+        lambda c: {"black_hole": True},
+        longest_s=5.0,
+    ),
+    _link_fault(
+        "half-close",
+        ("peers", "callers"),
+        lambda c: {"half_close_share": 0.1},
+        longest_s=4.0,
+    ),
+    _link_fault(
+        "loss",
+        ("peers", "gossip", "callers"),
+        lambda c: {"cut_share": c.uniform(0.02, 0.3)},
+        longest_s=5.0,
+    ),
+    _cut_link,
+    _zone_out,
+    _race_operators,
+)
