--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/__init__.py
@@ -0,0 +1,97 @@
+"""Membership: records, failure detector, dissemination and anti-entropy.
+
+A variant of SWIM without I/O. `handle` applies an event to the state of one daemon
+and returns the effects that the daemon carries out.
+"""
+
+from vanillapitch_core.membership._dissemination import estimate_message_bytes
+from vanillapitch_core.membership._handle import handle
+from vanillapitch_core.membership._messages import (
+    Announce,
+    DoubtChanged,
+    Effect,
+    Event,
+    MemberChanged,
+    Message,
+    MessageKind,
+    MessageReceived,
+    PeersHeard,
+    RecordsReceived,
+    Refuted,
+    RevisionAdopted,
+    RevisionHeard,
+    Send,
+    StartSync,
+    StrikeHeard,
+    StrikeRecorded,
+    SyncBytesSent,
+    SyncFinished,
+    Tick,
+)
+from vanillapitch_core.membership._records import (
+    InstanceError,
+    MemberRecord,
+    MemberState,
+    Status,
+    Strike,
+    instance_key,
+    make_instance,
+    split_instance,
+)
+from vanillapitch_core.membership._state import (
+    MAX_MESSAGE_BYTES,
+    UDP_HEADER_BYTES,
+    MembershipSettings,
+    MembershipState,
+    live_records,
+    make_state,
+)
+from vanillapitch_core.membership._sync import (
+    SyncAnswer,
+    answer_digests,
+    differences,
+    make_digests,
+)
+
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "UDP_HEADER_BYTES",
+    "Announce",
+    "DoubtChanged",
+    "Effect",
+    "Event",
+    "InstanceError",
+    "MemberChanged",
+    "MemberRecord",
+    "MemberState",
+    "MembershipSettings",
+    "MembershipState",
+    "Message",
+    "MessageKind",
+    "MessageReceived",
+    "PeersHeard",
+    "RecordsReceived",
+    "Refuted",
+    "RevisionAdopted",
+    "RevisionHeard",
+    "Send",
+    "StartSync",
+    "Status",
+    "Strike",
+    "StrikeHeard",
+    "StrikeRecorded",
+    "SyncAnswer",
+    "SyncBytesSent",
+    "SyncFinished",
+    "Tick",
+    "answer_digests",
+    "differences",
+    "estimate_message_bytes",
+    "handle",
+    "instance_key",
+    "live_records",
+    "make_digests",
+    "make_instance",
+    "make_state",
+    "split_instance",
+]
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
@@ -0,0 +1,331 @@
+"""Messages between members, events that the state handles and effects."""
+
+import dataclasses
+import enum
+
+from vanillapitch_core.membership._records import (
+    MemberRecord,
+    MemberState,
+    Status,
+    Strike,
+)
+
+__all__ = [
+    "Announce",
+    "DoubtChanged",
+    "Effect",
+    "Event",
+    "MemberChanged",
+    "Message",
+    "MessageKind",
+    "MessageReceived",
+    "PeersHeard",
+    "RecordsReceived",
+    "Refuted",
+    "RevisionAdopted",
+    "RevisionHeard",
+    "Send",
+    "StartSync",
+    "StrikeHeard",
+    "StrikeRecorded",
+    "SyncBytesSent",
+    "SyncFinished",
+    "Tick",
+]
+
+
+class MessageKind(enum.IntEnum):
+    """Kind of a membership message."""
+
+    PING = 1
+    ACK = 2
+    NACK = 3
+    PING_REQUEST = 4
+    UPDATE = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Message:
+    """One membership message.
+
+    Attributes
+    ----------
+    kind : MessageKind
+        Kind of the message.
+    sequence : int
+        Number that an answer repeats; 0 for updates.
+    sender : str
+        Instance that sent the message.
+    sender_version : int
+        Version of the sender's record.
+    sender_state : MemberState
+        State that the sender announces.
+    revision : int
+        Revision of the tables in force at the sender.
+    target : str
+        Instance that a ping or its answer is about; empty when unknown.
+    target_address : str
+        Gossip address of the target of a ping request.
+    records : tuple of MemberRecord
+        Full records.
+    statuses : tuple of Status
+        Short records.
+    strikes : tuple of Strike
+        Quarantine strikes.
+    """
+
+    kind: MessageKind
+    sequence: int
+    sender: str
+    sender_version: int
+    sender_state: MemberState
+    revision: int
+    target: str = ""
+    target_address: str = ""
+    records: tuple[MemberRecord, ...] = ()
+    statuses: tuple[Status, ...] = ()
+    strikes: tuple[Strike, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Event:
+    """Base of events.
+
+    Attributes
+    ----------
+    now_ms : float
+        Monotonic time of the event.
+    """
+
+    now_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tick(Event):
+    """The timer fired.
+
+    Attributes
+    ----------
+    wall_ms : int
+        Milliseconds since the Unix epoch.
+    """
+
+    wall_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MessageReceived(Event):
+    """An authentic message arrived.
+
+    Attributes
+    ----------
+    message : Message
+        The message.
+    source : str
+        Gossip address that it came from.
+    """
+
+    message: Message
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Announce(Event):
+    """Change of the state that this daemon announces.
+
+    Attributes
+    ----------
+    state : MemberState
+        `JOINING`, `ALIVE`, `LEAVING` or `LEFT`.
+    """
+
+    state: MemberState
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RevisionAdopted(Event):
+    """Tables came into force at this daemon.
+
+    Attributes
+    ----------
+    revision : int
+        Their revision.
+    """
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StrikeRecorded(Event):
+    """A request ran while this daemon's backend server died.
+
+    Attributes
+    ----------
+    strike : Strike
+        The strike to spread.
+    """
+
+    strike: Strike
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeersHeard(Event):
+    """Gossip addresses of possible members became known.
+
+    Attributes
+    ----------
+    gossip_addresses : tuple of str
+        Seeds from the settings or introducers from the store.
+    """
+
+    gossip_addresses: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecordsReceived(Event):
+    """An anti-entropy exchange brought records.
+
+    Attributes
+    ----------
+    records : tuple of MemberRecord
+        Records of the peer.
+    strikes : tuple of Strike
+        Strikes of the peer.
+    """
+
+    records: tuple[MemberRecord, ...]
+    strikes: tuple[Strike, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SyncBytesSent(Event):
+    """An anti-entropy exchange sent bytes that count against the budget.
+
+    Attributes
+    ----------
+    size_bytes : int
+        Bytes sent by this daemon.
+    """
+
+    size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SyncFinished(Event):
+    """An exchange that this daemon started has ended.
+
+    Attributes
+    ----------
+    is_complete : bool
+        False when it failed, or the peer had more records than it may send at once.
+    """
+
+    is_complete: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Effect:
+    """Base of effects."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Send(Effect):
+    """Send a message.
+
+    Attributes
+    ----------
+    address : str
+        Gossip address of the receiver.
+    message : Message
+        The message.
+    """
+
+    address: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MemberChanged(Effect):
+    """A record changed in a way that others may act on.
+
+    Attributes
+    ----------
+    record : MemberRecord
+        The record that is now valid for its instance.
+    """
+
+    record: MemberRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RevisionHeard(Effect):
+    """A member has a higher revision of the tables.
+
+    Attributes
+    ----------
+    revision : int
+        The revision.
+    peer_address : str
+        Inner address of the member that has it.
+    """
+
+    revision: int
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StrikeHeard(Effect):
+    """A strike of another daemon became known.
+
+    Attributes
+    ----------
+    strike : Strike
+        The strike.
+    """
+
+    strike: Strike
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartSync(Effect):
+    """Exchange digests and differences with a peer.
+
+    Attributes
+    ----------
+    peer_address : str
+        Inner address of the peer.
+    """
+
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DoubtChanged(Effect):
+    """Self-doubt of this daemon began or ended.
+
+    Attributes
+    ----------
+    in_doubt : bool
+        Whether it now withholds suspicions.
+    reason : str
+        ``paused``, ``pings_failed`` or ``recovered``.
+    """
+
+    in_doubt: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refuted(Effect):
+    """Others took this daemon for suspect or dead, and it contradicted.
+
+    Attributes
+    ----------
+    claimed_state : MemberState
+        What others said.
+    version : int
+        The version that contradicts.
+    """
+
+    claimed_state: MemberState
+    version: int
