--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
@@ -102,15 +102,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick(Event):
-    """The timer fired.
-
-    Attributes
-    ----------
-    wall_ms : int
-        Milliseconds since the Unix epoch.
-    """
-
-    wall_ms: int
+    """The timer fired."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/vanillapitch-wire/idl/gossip.thrift
+++ b/packages/vanillapitch-wire/idl/gossip.thrift
@@ -7,7 +7,7 @@
   4: required string service_name;
   5: required string inner_address;
   6: required string gossip_address;
-  7: required byte state;           // position in MemberState
+  7: required i8 state;           // position in MemberState
   8: required i64 version;
   9: required i32 slots;
 }
@@ -16,7 +16,7 @@
 struct MemberStatus {
   1: required binary key;           // first 8 bytes of the instance's BLAKE2b digest
   2: required i64 version;
-  3: required byte state;
+  3: required i8 state;
   4: optional binary accusers;      // 4 bytes each
 }
 
@@ -27,12 +27,12 @@
 }
 
 struct Gossip {
-  1: required byte kind;            // value of MessageKind
+  1: required i8 kind;            // value of MessageKind
   2: required i64 sequence;
   3: required i64 sent_at_ms;       // wall time, bounds the message's age
   4: required string sender;
   5: required i64 sender_version;
-  6: required byte sender_state;
+  6: required i8 sender_state;
   7: required i64 revision;         // tables revision in force at the sender
   8: optional string target;
   9: optional string target_address;
@@ -40,3 +40,9 @@
   11: optional list<MemberStatus> statuses;
   12: optional list<Strike> strikes;
 }
+
+// Content of an anti-entropy exchange.
+struct MemberList {
+  1: required list<Member> members;
+  2: required list<Strike> strikes;
+}
--- a/packages/vanillapitch-wire/idl/peers.thrift
+++ b/packages/vanillapitch-wire/idl/peers.thrift
@@ -1,17 +1,11 @@
 // Calls between daemons about members and tables.
 
-include "gossip.thrift"
-
-struct MemberList {
-  1: required list<gossip.Member> members;
-}
-
+// Members travel as a MemberList of gossip.thrift, in compact encoding and zlib.
 struct DigestsReply {
   1: required list<i16> buckets;         // buckets that differ and are complete here
-  2: required binary members;            // MemberList, compact encoding, zlib
-  3: required list<gossip.Strike> strikes;
-  4: required bool is_truncated;         // more buckets differ
-  5: required i64 revision;
+  2: required binary members;
+  3: required bool is_truncated;         // more buckets differ
+  4: required i64 revision;              // tables revision in force at the peer
 }
 
 // Empty document: the peer has no tables of at least the wanted revision.
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/gossip/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/gossip/ttypes.py
@@ -645,6 +645,108 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class MemberList(object):
+    """
+    Attributes:
+     - members
+     - strikes
+
+    """
+
+    __slots__ = (
+        'members',
+        'strikes',
+    )
+
+
+    def __init__(self, members=None, strikes=None,):
+        self.members = members
+        self.strikes = strikes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Member()
+                        _elem26.read(iprot)
+                        self.members.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.strikes = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = Strike()
+                        _elem32.read(iprot)
+                        self.strikes.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberList')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter33 in self.members:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.strikes is not None:
+            oprot.writeFieldBegin('strikes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
+            for iter34 in self.strikes:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        if self.strikes is None:
+            raise TProtocolException(message='Required field strikes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -689,5 +791,11 @@
     (11, TType.LIST, 'statuses', (TType.STRUCT, [MemberStatus, None], False), None, ),  # 11
     (12, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 12
 )
+all_structs.append(MemberList)
+MemberList.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
+    (2, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/peers/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/peers/ttypes.py
@@ -11,97 +11,16 @@
 from thrift.TRecursive import fix_spec
 
 import sys
-import gossip.ttypes
 
 from thrift.transport import TTransport
 all_structs = []
 
 
-class MemberList(object):
-    """
-    Attributes:
-     - members
-
-    """
-
-    __slots__ = (
-        'members',
-    )
-
-
-    def __init__(self, members=None,):
-        self.members = members
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.LIST:
-                    self.members = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = gossip.ttypes.Member()
-                        _elem5.read(iprot)
-                        self.members.append(_elem5)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('MemberList')
-        if self.members is not None:
-            oprot.writeFieldBegin('members', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter6 in self.members:
-                iter6.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.members is None:
-            raise TProtocolException(message='Required field members is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class DigestsReply(object):
     """
     Attributes:
      - buckets
      - members
-     - strikes
      - is_truncated
      - revision
 
@@ -110,16 +29,14 @@
     __slots__ = (
         'buckets',
         'members',
-        'strikes',
         'is_truncated',
         'revision',
     )
 
 
-    def __init__(self, buckets=None, members=None, strikes=None, is_truncated=None, revision=None,):
+    def __init__(self, buckets=None, members=None, is_truncated=None, revision=None,):
         self.buckets = buckets
         self.members = members
-        self.strikes = strikes
         self.is_truncated = is_truncated
         self.revision = revision
 
@@ -135,10 +52,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.buckets = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readI16()
-                        self.buckets.append(_elem12)
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI16()
+                        self.buckets.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -148,22 +65,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.strikes = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = gossip.ttypes.Strike()
-                        _elem18.read(iprot)
-                        self.strikes.append(_elem18)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.BOOL:
                     self.is_truncated = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
@@ -181,27 +87,20 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 1)
             oprot.writeListBegin(TType.I16, len(self.buckets))
-            for iter19 in self.buckets:
-                oprot.writeI16(iter19)
+            for iter6 in self.buckets:
+                oprot.writeI16(iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.STRING, 2)
             oprot.writeBinary(self.members)
             oprot.writeFieldEnd()
-        if self.strikes is not None:
-            oprot.writeFieldBegin('strikes', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter20 in self.strikes:
-                iter20.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.is_truncated is not None:
-            oprot.writeFieldBegin('is_truncated', TType.BOOL, 4)
+            oprot.writeFieldBegin('is_truncated', TType.BOOL, 3)
             oprot.writeBool(self.is_truncated)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 5)
+            oprot.writeFieldBegin('revision', TType.I64, 4)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -212,8 +111,6 @@
             raise TProtocolException(message='Required field buckets is unset!')
         if self.members is None:
             raise TProtocolException(message='Required field members is unset!')
-        if self.strikes is None:
-            raise TProtocolException(message='Required field strikes is unset!')
         if self.is_truncated is None:
             raise TProtocolException(message='Required field is_truncated is unset!')
         if self.revision is None:
@@ -321,19 +218,13 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(MemberList)
-MemberList.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'members', (TType.STRUCT, [gossip.ttypes.Member, None], False), None, ),  # 1
-)
 all_structs.append(DigestsReply)
 DigestsReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'buckets', (TType.I16, None, False), None, ),  # 1
     (2, TType.STRING, 'members', 'BINARY', None, ),  # 2
-    (3, TType.LIST, 'strikes', (TType.STRUCT, [gossip.ttypes.Strike, None], False), None, ),  # 3
-    (4, TType.BOOL, 'is_truncated', None, None, ),  # 4
-    (5, TType.I64, 'revision', None, None, ),  # 5
+    (3, TType.BOOL, 'is_truncated', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
 )
 all_structs.append(TablesReply)
 TablesReply.thrift_spec = (
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/exceptions.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/exceptions.py
@@ -7,6 +7,8 @@
     "CallTimedOut",
     "ConnectFailed",
     "ConnectionLost",
+    "GossipMalformed",
+    "GossipRejected",
     "HandshakeFailed",
     "SendFailed",
     "WireError",
@@ -56,3 +58,25 @@
     """The caller gave up before the reply arrived."""
 
     code = "call_cancelled"
+
+
+class GossipRejected(WireError):
+    """A membership message is not authentic or not recent.
+
+    Parameters
+    ----------
+    reason : str
+        ``hmac``, ``age`` or ``size``.
+    """
+
+    code = "gossip_rejected"
+
+    def __init__(self, *, reason: str):
+        super().__init__(f"membership message rejected: {reason}")
+        self.reason = reason
+
+
+class GossipMalformed(WireError):
+    """An authentic message cannot be decoded."""
+
+    code = "gossip_malformed"
