--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -25,6 +25,9 @@
 
 # Headers and Thrift fields around a body.
 FRAME_OVERHEAD_BYTES = 1_048_576
+# Threads beside those that wait for the backend server: refusals and calls between
+# daemons go on while every slot is taken.
+PEER_CALL_THREADS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,6 +135,7 @@
             OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
         },
         max_frame_bytes=max_frame_bytes,
+        worker_threads=settings.backend.slots + PEER_CALL_THREADS,
     )
     return Daemon(
         endpoint=endpoint,
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -44,14 +44,22 @@
         """Keep the output of tests free of access logs."""
 
 
+class QuietServer(http.server.ThreadingHTTPServer):
+    """Does not print when a cancelled request's connection is gone."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """Keep the output of tests free of expected errors."""
+
+
 @pytest.fixture
 def make_backend():
     """Start backend servers; ``behave`` is called before each answer."""
     servers = []
 
     def make(behave=lambda handler: None):
-        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), RecordingHandler)
-        server.daemon_threads = True
+        server = QuietServer(("127.0.0.1", 0), RecordingHandler)
         server.requests = []
         server.behave = behave
         threading.Thread(target=server.serve_forever, daemon=True).start()
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
@@ -10,6 +10,7 @@
     SendFailed,
     WireError,
 )
+from vanillapitch_wire.readiness import ReadinessPool
 from vanillapitch_wire.server import Server, current_socket
 
 __all__ = [
@@ -19,6 +20,7 @@
     "Connection",
     "ConnectionLost",
     "HandshakeFailed",
+    "ReadinessPool",
     "SendFailed",
     "Server",
     "WireError",
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/handshake.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/handshake.py
@@ -6,7 +6,7 @@
 
 from vanillapitch_wire.exceptions import HandshakeFailed
 
-__all__ = ["accept_handshake", "start_handshake"]
+__all__ = ["accept_handshake", "send_nonce", "start_handshake"]
 
 NONCE_BYTES = 32
 DIGEST_BYTES = 32
@@ -44,7 +44,31 @@
         raise HandshakeFailed("the server does not know the cluster key")
 
 
-def accept_handshake(sock: socket.socket, cluster_key: bytes) -> None:
+def send_nonce(sock: socket.socket) -> bytes:
+    """Open the handshake on the server's side.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Accepted socket.
+
+    Returns
+    -------
+    bytes
+        The nonce to pass to `accept_handshake`.
+    """
+    nonce = os.urandom(NONCE_BYTES)
+    try:
+        sock.sendall(nonce)
+    except OSError:
+        # The peer is gone; the handshake reports it.
+        return nonce
+    return nonce
+
+
+def accept_handshake(
+    sock: socket.socket, cluster_key: bytes, server_nonce: bytes
+) -> None:
     """Check a client's proof of the key and prove it in return.
 
     Parameters
@@ -53,15 +77,15 @@
         Accepted socket with a timeout.
     cluster_key : bytes
         Shared key.
+    server_nonce : bytes
+        Nonce from `send_nonce`.
 
     Raises
     ------
     HandshakeFailed
         If the peer closes, times out or sends a wrong proof.
     """
-    server_nonce = os.urandom(NONCE_BYTES)
     try:
-        sock.sendall(server_nonce)
         received = _receive_exactly(sock, NONCE_BYTES + DIGEST_BYTES)
     except OSError as error:
         raise HandshakeFailed(f"handshake interrupted: {error}") from error
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/server.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/server.py
@@ -9,13 +9,16 @@
 
 from vanillapitch_wire.connection import make_protocol
 from vanillapitch_wire.exceptions import HandshakeFailed
-from vanillapitch_wire.handshake import accept_handshake
+from vanillapitch_wire.handshake import accept_handshake, send_nonce
+from vanillapitch_wire.readiness import ReadinessPool
 
 __all__ = ["Server", "current_socket"]
 
 HANDSHAKE_TIMEOUT_MS = 2_000
-IDLE_TIMEOUT_MS = 120_000
+# Bound on receiving the rest of a frame and on sending a reply.
+FRAME_TIMEOUT_MS = 30_000
 LISTEN_BACKLOG = 128
+KEEPALIVE_IDLE_S = 60
 
 _log = logging.getLogger("vanillapitch.wire")
 _local = threading.local()
@@ -30,7 +33,7 @@
 
 
 class Server:
-    """Accepts authenticated connections; one thread serves one connection.
+    """Accepts authenticated connections and serves their calls.
 
     Parameters
     ----------
@@ -42,6 +45,8 @@
         Generated processors by service name.
     max_frame_bytes : int
         Largest frame accepted, in bytes.
+    worker_threads : int
+        Calls served at the same time.
     """
 
     def __init__(
@@ -51,6 +56,7 @@
         cluster_key: bytes,
         processors_by_service: dict[str, object],
         max_frame_bytes: int,
+        worker_threads: int,
     ):
         self._cluster_key = cluster_key
         self._max_frame_bytes = max_frame_bytes
@@ -61,7 +67,8 @@
             address, backlog=LISTEN_BACKLOG, reuse_port=False
         )
         self._lock = threading.Lock()
-        self._sockets: set[socket.socket] = set()
+        self._connections: set[_ServerConnection] = set()
+        self._pool = ReadinessPool(name="wire", threads=worker_threads)
         self._closed = False
         self._thread = threading.Thread(
             target=self._accept_connections, name="wire-accept", daemon=True
@@ -74,6 +81,7 @@
 
     def start(self) -> None:
         """Start to accept connections."""
+        self._pool.start()
         self._thread.start()
 
     def close(self) -> None:
@@ -82,9 +90,10 @@
         _shut_down(self._listener)
         self._listener.close()
         with self._lock:
-            sockets = list(self._sockets)
-        for sock in sockets:
-            _shut_down(sock)
+            connections = list(self._connections)
+        for connection in connections:
+            _shut_down(connection.sock)
+        self._pool.close()
 
     def _accept_connections(self) -> None:
         while not self._closed:
@@ -95,38 +104,58 @@
                     return
                 _log.exception("wire: accept failed")
                 continue
-            threading.Thread(
-                target=self._serve_connection,
-                args=(sock,),
-                name="wire-connection",
-                daemon=True,
-            ).start()
-
-    def _serve_connection(self, sock: socket.socket) -> None:
+            self._add(sock)
+
+    def _add(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A VM that vanishes closes nothing; probes find its connections.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        connection = _ServerConnection(sock=sock)
         with self._lock:
-            self._sockets.add(sock)
+            self._connections.add(connection)
+        # The client waits for the nonce, so the first input is its proof.
+        connection.nonce = send_nonce(sock)
+        self._pool.add(sock, lambda: self._serve(connection))
+
+    def _serve(self, connection: "_ServerConnection") -> None:
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(HANDSHAKE_TIMEOUT_MS / 1000)
-            accept_handshake(sock, self._cluster_key)
-            sock.settimeout(IDLE_TIMEOUT_MS / 1000)
-            self._serve_calls(sock)
+            if connection.protocol is None:
+                self._authenticate(connection)
+            else:
+                _local.sock = connection.sock
+                self._processor.process(connection.protocol, connection.protocol)
         except HandshakeFailed as error:
             _log.warning("wire: rejected connection: %s", error)
+            self._remove(connection)
         except (OSError, EOFError, TException):
             _log.debug("wire: connection ended", exc_info=True)
-        except Exception:
-            _log.exception("wire: call handler failed")
-        finally:
-            with self._lock:
-                self._sockets.discard(sock)
-            sock.close()
-
-    def _serve_calls(self, sock: socket.socket) -> None:
-        protocol = make_protocol(sock, self._max_frame_bytes)
-        _local.sock = sock
-        while not self._closed:
-            self._processor.process(protocol, protocol)
+            self._remove(connection)
+        except BaseException:
+            self._remove(connection)
+            raise
+        else:
+            self._pool.arm(connection.sock)
+
+    def _authenticate(self, connection: "_ServerConnection") -> None:
+        sock = connection.sock
+        sock.settimeout(HANDSHAKE_TIMEOUT_MS / 1000)
+        accept_handshake(sock, self._cluster_key, connection.nonce)
+        sock.settimeout(FRAME_TIMEOUT_MS / 1000)
+        connection.protocol = make_protocol(sock, self._max_frame_bytes)
+
+    def _remove(self, connection: "_ServerConnection") -> None:
+        with self._lock:
+            self._connections.discard(connection)
+        self._pool.remove(connection.sock)
+        connection.sock.close()
+
+
+class _ServerConnection:
+    def __init__(self, *, sock: socket.socket):
+        self.sock = sock
+        self.nonce = b""
+        self.protocol = None
 
 
 def _shut_down(sock: socket.socket) -> None:
--- a/packages/vanillapitch-wire/tests/test_connection.py
+++ b/packages/vanillapitch-wire/tests/test_connection.py
@@ -53,6 +53,7 @@
         cluster_key=KEY,
         processors_by_service={OWNER_SERVICE: OwnerProcessor(EchoHandler())},
         max_frame_bytes=MAX_FRAME_BYTES,
+        worker_threads=4,
     )
     server.start()
     yield server
