Add the decisions: picking, admission, warmup, health, probes, retries, quarantine

The daemon needs decisions that are functions of time, state and event, so that trials and tests drive the same code.

--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/admission/__init__.py
@@ -0,0 +1,45 @@
+"""Admission at the owner of an endpoint.
+
+Only the owner knows the exact number of requests in flight, so the bound is exact with
+any number of ingresses and without coordination.
+"""
+
+from vanillapitch_core.admission._decide import (
+    admit,
+    begin_cold_start,
+    begin_leaving,
+    cancel_waiter,
+    end_leaving,
+    expire_waiters,
+    release,
+    set_backend_down,
+    set_zone_in_service,
+)
+from vanillapitch_core.admission._state import (
+    AdmissionRequest,
+    AdmissionState,
+    AnswerKind,
+    Decision,
+    TicketDecision,
+    current_limit,
+    report_state,
+)
+
+__all__ = [
+    "AdmissionRequest",
+    "AdmissionState",
+    "AnswerKind",
+    "Decision",
+    "TicketDecision",
+    "admit",
+    "begin_cold_start",
+    "begin_leaving",
+    "cancel_waiter",
+    "current_limit",
+    "end_leaving",
+    "expire_waiters",
+    "release",
+    "report_state",
+    "set_backend_down",
+    "set_zone_in_service",
+]
--- a/packages/vanillapitch-core/src/vanillapitch_core/exceptions.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/exceptions.py
@@ -1,6 +1,6 @@
 """Errors of the decision layer and the base of every other layer's errors."""
 
-__all__ = ["TableError", "VanillapitchError"]
+__all__ = ["InvariantError", "TableError", "VanillapitchError", "check_invariant"]
 
 
 class VanillapitchError(Exception):
@@ -15,6 +15,31 @@
     code = "internal_error"
 
 
+class InvariantError(VanillapitchError):
+    """A state that the design rules out was reached; this is a programming error."""
+
+    code = "invariant_violated"
+
+
+def check_invariant(holds: bool, message: str) -> None:
+    """Raise if an invariant does not hold, also under ``python -O``.
+
+    Parameters
+    ----------
+    holds : bool
+        Whether the invariant holds.
+    message : str
+        What was expected.
+
+    Raises
+    ------
+    InvariantError
+        If `holds` is false.
+    """
+    if not holds:
+        raise InvariantError(message)
+
+
 class TableError(VanillapitchError):
     """A table is invalid.
 
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/__init__.py
@@ -0,0 +1,60 @@
+"""Choice of an endpoint at the ingress.
+
+`PickerState` belongs to one owner (the picker actor), which applies every event in
+order: endpoints that come and go, dispatches, reports and results.
+"""
+
+from vanillapitch_core.picking._events import (
+    add_endpoint,
+    classify_refusal,
+    mark_leaving,
+    record_dispatch,
+    record_report,
+    record_result,
+    remove_endpoint,
+    set_zones_out,
+)
+from vanillapitch_core.picking._pick import Picked, PickReason, Unpicked, pick
+from vanillapitch_core.picking._policies import (
+    PickPolicy,
+    Selection,
+    choose_by_score,
+    choose_least_in_flight,
+    choose_random,
+    choose_round_robin,
+)
+from vanillapitch_core.picking._state import (
+    CallResult,
+    Endpoint,
+    EndpointState,
+    LoadReport,
+    PickerState,
+)
+from vanillapitch_core.picking._subset import choose_subset
+
+__all__ = [
+    "CallResult",
+    "Endpoint",
+    "EndpointState",
+    "LoadReport",
+    "PickPolicy",
+    "PickReason",
+    "Picked",
+    "PickerState",
+    "Selection",
+    "Unpicked",
+    "add_endpoint",
+    "choose_by_score",
+    "choose_least_in_flight",
+    "choose_random",
+    "choose_round_robin",
+    "choose_subset",
+    "classify_refusal",
+    "mark_leaving",
+    "pick",
+    "record_dispatch",
+    "record_report",
+    "record_result",
+    "remove_endpoint",
+    "set_zones_out",
+]
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_estimate.py
@@ -0,0 +1,172 @@
+"""Estimates of an endpoint's latency, load and failures from what is known now."""
+
+from collections.abc import Iterable
+
+from vanillapitch_core.picking._state import Endpoint, Service
+
+__all__ = [
+    "baseline_latency_ms",
+    "estimate_failures",
+    "estimate_latency_ms",
+    "estimate_occupancy",
+    "record_failure_sample",
+    "record_latency_sample",
+]
+
+LATENCY_WEIGHT = 0.1
+# Good answers of an endpoint that lost its work come only with trial requests, so
+# each of them counts for more.
+RECOVERY_WEIGHT = 0.5
+# One slow answer, such as a large upload, must not drive away all work: at 10 times
+# the estimate it raises the estimate to 1.9 times.
+MAX_SAMPLE_FACTOR = 10.0
+FAILURE_WEIGHT = 0.2
+FAILURE_HALF_LIFE_MS = 2_000.0
+# The requests that a report counts end after one latency, on average.
+MIN_REPORT_HALF_LIFE_MS = 1.0
+
+
+def record_latency_sample(
+    endpoint: Endpoint, *, latency_ms: float, baseline_ms: float, now_ms: float
+) -> None:
+    """Take the latency of an answer into the moving average.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint that answered.
+    latency_ms : float
+        The latency.
+    baseline_ms : float
+        Typical latency of the service; 0 when not known.
+    now_ms : float
+        Current time in milliseconds.
+    """
+    endpoint.latency_at_ms = now_ms
+    if endpoint.latency_ms == 0.0:
+        endpoint.latency_ms = max(latency_ms, 1e-3)
+        return
+    sample_ms = min(latency_ms, endpoint.latency_ms * MAX_SAMPLE_FACTOR)
+    recovering = sample_ms < endpoint.latency_ms and endpoint.latency_ms > (
+        1.5 * baseline_ms
+    )
+    weight = RECOVERY_WEIGHT if recovering else LATENCY_WEIGHT
+    endpoint.latency_ms += weight * (sample_ms - endpoint.latency_ms)
+
+
+def estimate_latency_ms(endpoint: Endpoint, *, now_ms: float) -> float:
+    """Estimate the latency, counting outstanding calls that are overdue.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    float
+        Milliseconds; 0 when nothing is known.
+    """
+    estimate_ms = endpoint.latency_ms
+    if estimate_ms == 0.0:
+        return 0.0
+    for started_at_ms in endpoint.outstanding.values():
+        age_ms = now_ms - started_at_ms
+        if age_ms <= estimate_ms:
+            break
+        sample_ms = min(age_ms, estimate_ms * MAX_SAMPLE_FACTOR)
+        estimate_ms += LATENCY_WEIGHT * (sample_ms - estimate_ms)
+    return estimate_ms
+
+
+def baseline_latency_ms(endpoints: Iterable[Endpoint]) -> float:
+    """Return the typical latency: the lower median of the known ones.
+
+    Parameters
+    ----------
+    endpoints : iterable of Endpoint
+        Endpoints of a pool.
+
+    Returns
+    -------
+    float
+        Milliseconds; 0 when nothing is known.
+    """
+    known_ms = sorted(
+        endpoint.latency_ms for endpoint in endpoints if endpoint.latency_ms > 0.0
+    )
+    return known_ms[(len(known_ms) - 1) // 2] if known_ms else 0.0
+
+
+def estimate_occupancy(endpoint: Endpoint, service: Service, *, now_ms: float) -> float:
+    """Estimate the load as a share of the limit, if one more call is sent.
+
+    Counting that call matters for a cold endpoint, whose limit may be 1.
+
+    As a report ages, the number that it gives for other ingresses makes way for what
+    other ingresses usually send per own call.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint.
+    service : Service
+        The service of the endpoint.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    float
+        More than 1 when full.
+    """
+    own = len(endpoint.outstanding)
+    report = endpoint.report
+    if report is None:
+        return float(own + 1)
+    age_ms = max(0.0, now_ms - endpoint.report_at_ms)
+    half_life_ms = max(MIN_REPORT_HALF_LIFE_MS, endpoint.latency_ms)
+    fresh = 0.5 ** (age_ms / half_life_ms)
+    usual = own * service.mean_others / max(0.5, service.mean_own)
+    others = fresh * endpoint.others_in_flight + (1.0 - fresh) * usual
+    return (own + others + 1.0) / max(1, report.limit)
+
+
+def record_failure_sample(endpoint: Endpoint, *, failed: bool, now_ms: float) -> None:
+    """Take a result into the moving average of failures.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint.
+    failed : bool
+        Whether the call failed.
+    now_ms : float
+        Current time in milliseconds.
+    """
+    share = estimate_failures(endpoint, now_ms=now_ms)
+    endpoint.failure_share = share + FAILURE_WEIGHT * (float(failed) - share)
+    endpoint.failure_at_ms = now_ms
+
+
+def estimate_failures(endpoint: Endpoint, *, now_ms: float) -> float:
+    """Estimate the share of calls that fail.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    float
+        From 0 to 1; old failures lose weight.
+    """
+    if endpoint.failure_share == 0.0:
+        return 0.0
+    age_ms = max(0.0, now_ms - endpoint.failure_at_ms)
+    return endpoint.failure_share * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_policies.py
@@ -0,0 +1,264 @@
+"""Policies that choose among the endpoints that may be used."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Sequence
+
+from vanillapitch_core import health
+from vanillapitch_core.picking._estimate import (
+    baseline_latency_ms,
+    estimate_failures,
+    estimate_latency_ms,
+    estimate_occupancy,
+)
+from vanillapitch_core.picking._state import (
+    Endpoint,
+    EndpointState,
+    PickerState,
+    Service,
+)
+
+__all__ = [
+    "PickPolicy",
+    "Selection",
+    "choose_by_score",
+    "choose_least_in_flight",
+    "choose_random",
+    "choose_round_robin",
+]
+
+# In a trial at 75% load, 3 candidates led to a third fewer refusals than 2.
+CANDIDATES = 3
+MAX_OUTSTANDING_OF_UNKNOWN = 1
+
+OCCUPANCY_WEIGHT = 3.0
+FAILURE_WEIGHT = 10.0
+OTHER_ZONE_COST = 0.1
+OTHER_REGION_COST = 1.0
+# Below this factor, differences in latency are taken for noise.
+SLOW_FACTOR = 1.5
+
+# One trial request in 200 keeps a straggler's share below the 1% that p99 ignores.
+MAX_TRIAL_SPACING = 200
+TRIAL_SPACING_OF_SLIGHTLY_SLOW = 10
+# A cold endpoint needs answers to warm up, also while the others have room.
+TRIAL_SPACING_OF_COLD = 20
+# With little traffic, time takes the place of the count.
+TRIAL_AFTER_MS = 10_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Selection:
+    """The endpoints to choose from.
+
+    Attributes
+    ----------
+    picker : PickerState
+        State of the picker.
+    service : Service
+        The service of the endpoints.
+    near : sequence of Endpoint
+        The stable subset, without those excluded; not empty unless `usable` is.
+    usable : sequence of Endpoint
+        All endpoints, without those excluded; not empty.
+    now_ms : float
+        Current time in milliseconds.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    picker: PickerState
+    service: Service
+    near: Sequence[Endpoint]
+    usable: Sequence[Endpoint]
+    now_ms: float
+    rng: random.Random
+
+
+PickPolicy = Callable[[Selection], Endpoint]
+
+
+def choose_random(selection: Selection) -> Endpoint:
+    """Choose at random; a baseline for comparisons.
+
+    Parameters
+    ----------
+    selection : Selection
+        The endpoints to choose from.
+
+    Returns
+    -------
+    Endpoint
+        The choice.
+    """
+    return selection.rng.choice(selection.near or selection.usable)
+
+
+def choose_round_robin(selection: Selection) -> Endpoint:
+    """Choose in turn; a baseline for comparisons.
+
+    Parameters
+    ----------
+    selection : Selection
+        The endpoints to choose from.
+
+    Returns
+    -------
+    Endpoint
+        The choice.
+    """
+    endpoints = selection.near or selection.usable
+    return endpoints[selection.service.picks % len(endpoints)]
+
+
+def choose_least_in_flight(selection: Selection) -> Endpoint:
+    """Choose the fewest own calls in flight; a baseline for comparisons.
+
+    Parameters
+    ----------
+    selection : Selection
+        The endpoints to choose from.
+
+    Returns
+    -------
+    Endpoint
+        The choice; at random among equals.
+    """
+    endpoints = selection.near or selection.usable
+    fewest = min(len(endpoint.outstanding) for endpoint in endpoints)
+    return selection.rng.choice(
+        [endpoint for endpoint in endpoints if len(endpoint.outstanding) == fewest]
+    )
+
+
+def choose_by_score(selection: Selection) -> Endpoint:
+    """Choose the best score among a few sampled candidates.
+
+    Sampling keeps ingresses with the same stale reports from all choosing the same
+    endpoint.
+
+    Parameters
+    ----------
+    selection : Selection
+        The endpoints to choose from.
+
+    Returns
+    -------
+    Endpoint
+        The choice.
+    """
+    near = selection.near or selection.usable
+    # The excluded endpoints count too: on a retry, the endpoint left over may be the
+    # straggler.
+    baseline_ms = baseline_latency_ms(selection.service.endpoints_by_instance.values())
+    trial = _find_trial(selection, near, baseline_ms=baseline_ms)
+    if trial is not None:
+        return trial
+    for endpoints in (near, selection.usable):
+        preferred = [
+            endpoint for endpoint in endpoints if _is_preferred(endpoint, selection)
+        ]
+        if preferred:
+            return _choose_best(selection, preferred, baseline_ms=baseline_ms)
+    return _choose_least_avoided(selection, near)
+
+
+def _find_trial(
+    selection: Selection, endpoints: Sequence[Endpoint], *, baseline_ms: float
+) -> Endpoint | None:
+    """Find an endpoint whose state must be learned anew by a request."""
+    for endpoint in endpoints:
+        if endpoint.outstanding or selection.now_ms < endpoint.avoid_until_ms:
+            continue
+        condition = health.status(
+            selection.service.health,
+            instance=endpoint.instance,
+            now_ms=selection.now_ms,
+        )
+        if condition is health.HealthStatus.TRIAL_DUE:
+            return endpoint
+        if condition is health.HealthStatus.IN_USE and _is_starved(
+            endpoint, selection, baseline_ms=baseline_ms
+        ):
+            return endpoint
+    return None
+
+
+def _is_starved(
+    endpoint: Endpoint, selection: Selection, *, baseline_ms: float
+) -> bool:
+    waited_picks = selection.service.picks - endpoint.last_pick_number
+    if _is_cold(endpoint) and waited_picks >= TRIAL_SPACING_OF_COLD:
+        return True
+    if endpoint.latency_ms <= SLOW_FACTOR * baseline_ms:
+        return False
+    if selection.now_ms - endpoint.last_pick_at_ms >= TRIAL_AFTER_MS:
+        return True
+    ratio = endpoint.latency_ms / baseline_ms
+    spacing = min(MAX_TRIAL_SPACING, TRIAL_SPACING_OF_SLIGHTLY_SLOW * ratio**2)
+    return waited_picks >= spacing
+
+
+def _is_cold(endpoint: Endpoint) -> bool:
+    return endpoint.report is not None and endpoint.report.state is EndpointState.COLD
+
+
+def _is_preferred(endpoint: Endpoint, selection: Selection) -> bool:
+    if selection.now_ms < endpoint.avoid_until_ms:
+        return False
+    if (
+        not endpoint.answered
+        and len(endpoint.outstanding) >= MAX_OUTSTANDING_OF_UNKNOWN
+    ):
+        return False
+    condition = health.status(
+        selection.service.health, instance=endpoint.instance, now_ms=selection.now_ms
+    )
+    return condition is health.HealthStatus.IN_USE
+
+
+def _choose_best(
+    selection: Selection, endpoints: list[Endpoint], *, baseline_ms: float
+) -> Endpoint:
+    size = min(len(endpoints), CANDIDATES)
+    candidates = selection.rng.sample(endpoints, size)
+    return min(
+        candidates,
+        key=lambda endpoint: _score(endpoint, selection, baseline_ms=baseline_ms),
+    )
+
+
+def _score(endpoint: Endpoint, selection: Selection, *, baseline_ms: float) -> float:
+    now_ms = selection.now_ms
+    occupancy = estimate_occupancy(endpoint, selection.service, now_ms=now_ms)
+    load = 1.0 + OCCUPANCY_WEIGHT * occupancy**2 + _distance(endpoint, selection)
+    failures = 1.0 + FAILURE_WEIGHT * estimate_failures(endpoint, now_ms=now_ms)
+    latency_ms = estimate_latency_ms(endpoint, now_ms=now_ms)
+    slowness = 1.0
+    if baseline_ms > 0.0 and latency_ms > SLOW_FACTOR * baseline_ms:
+        slowness = (latency_ms / (SLOW_FACTOR * baseline_ms)) ** 2
+    return load * failures * slowness
+
+
+def _distance(endpoint: Endpoint, selection: Selection) -> float:
+    if endpoint.region != selection.picker.region:
+        return OTHER_REGION_COST
+    return 0.0 if endpoint.zone == selection.picker.zone else OTHER_ZONE_COST
+
+
+def _choose_least_avoided(
+    selection: Selection, endpoints: Sequence[Endpoint]
+) -> Endpoint:
+    """Choose although every endpoint is avoided; the owner still decides."""
+
+    def reluctance(endpoint: Endpoint) -> tuple[bool, float, int]:
+        condition = health.status(
+            selection.service.health,
+            instance=endpoint.instance,
+            now_ms=selection.now_ms,
+        )
+        ejected = condition is not health.HealthStatus.IN_USE
+        avoided_ms = max(0.0, endpoint.avoid_until_ms - selection.now_ms)
+        return (ejected, avoided_ms, len(endpoint.outstanding))
+
+    return min(endpoints, key=reluctance)
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_state.py
@@ -0,0 +1,201 @@
+"""State of the picker."""
+
+import dataclasses
+import enum
+
+from vanillapitch_core.health import HealthState
+
+__all__ = [
+    "CallResult",
+    "Endpoint",
+    "EndpointState",
+    "LoadReport",
+    "PickerState",
+    "PoolView",
+    "Service",
+]
+
+DEFAULT_SUBSET_SIZE = 8
+
+
+class EndpointState(enum.StrEnum):
+    """State of an endpoint in its load reports."""
+
+    COLD = "cold"
+    READY = "ready"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+class CallResult(enum.Enum):
+    """How a call ended, as far as picking learns from it."""
+
+    # A response that is not a server error.
+    ANSWERED = "answered"
+    # A server error, or a connection to the backend server that broke.
+    FAILED = "failed"
+    # The backend server died, or refuses connections.
+    CRASHED = "crashed"
+    # The owner or the backend server refused for load.
+    OVERLOADED = "overloaded"
+    # The owner takes no work: leaving, or zone out of service.
+    REFUSED = "refused"
+    # Refused for a reason of the request's own, such as its deadline.
+    DECLINED = "declined"
+    # The owner refused the connection or the connection broke.
+    UNREACHABLE = "unreachable"
+    # The deadline passed; the latency is a lower bound.
+    TIMED_OUT = "timed_out"
+    # The caller left; the latency is a lower bound.
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """Load of an endpoint, as its owner reports it with every answer.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests in flight from all ingresses.
+    limit : int
+        Requests that may be in flight.
+    state : EndpointState
+        State of the endpoint.
+    latency_ms : float
+        Moving average of the backend server's latency.
+    """
+
+    in_flight: int
+    limit: int
+    state: EndpointState = EndpointState.READY
+    latency_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Endpoint:
+    """What an ingress knows about one endpoint.
+
+    Attributes
+    ----------
+    instance, service, zone, region : str
+        Identity and place.
+    leaving : bool
+        Whether it takes no new work.
+    outstanding : dict of int to float
+        Start time of this ingress's calls, by call id, oldest first.
+    answered : bool
+        Whether it ever replied to this ingress.
+    report : LoadReport or None
+        The last report.
+    report_at_ms : float
+        When the last report arrived.
+    others_in_flight : int
+        Requests of other ingresses according to the last report.
+    latency_ms : float
+        Moving average of the latency; 0 before the first answer.
+    failure_share : float
+        Moving average of failures, from 0 to 1.
+    avoid_until_ms : float
+        Time until which it is avoided.
+    refusals : int
+        Consecutive refused connections; each doubles the time it is avoided.
+    last_pick_number : int
+        Number of the service's pick that chose it last.
+    last_pick_at_ms : float
+        Time of that pick.
+    """
+
+    instance: str
+    service: str
+    zone: str
+    region: str
+    leaving: bool = False
+    outstanding: dict[int, float] = dataclasses.field(default_factory=dict)
+    answered: bool = False
+    report: LoadReport | None = None
+    report_at_ms: float = 0.0
+    others_in_flight: int = 0
+    latency_ms: float = 0.0
+    latency_at_ms: float = 0.0
+    failure_share: float = 0.0
+    failure_at_ms: float = 0.0
+    avoid_until_ms: float = 0.0
+    refusals: int = 0
+    last_pick_number: int = 0
+    last_pick_at_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Service:
+    """The endpoints that announce one service.
+
+    Attributes
+    ----------
+    endpoints_by_instance : dict of str to Endpoint
+        Known endpoints.
+    health : HealthState
+        Ejection among them.
+    picks : int
+        Picks so far.
+    mean_own, mean_others : float
+        Moving averages of this ingress's and of other ingresses' calls in flight at an
+        endpoint, when it reports.
+    """
+
+    endpoints_by_instance: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
+    health: HealthState = dataclasses.field(default_factory=HealthState)
+    picks: int = 0
+    mean_own: float = 1.0
+    mean_others: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PoolView:
+    """Endpoints of a pool that may be used, computed when members or zones change.
+
+    Attributes
+    ----------
+    near : tuple of Endpoint
+        The stable subset that this ingress keeps connections to.
+    usable : tuple of Endpoint
+        All endpoints in service and not leaving.
+    zones_out : bool
+        Whether the pool is empty only because its zones are out of service.
+    serve_anyway : bool
+        Whether the endpoints are in zones out of service.
+    """
+
+    near: tuple[Endpoint, ...]
+    usable: tuple[Endpoint, ...]
+    zones_out: bool = False
+    serve_anyway: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PickerState:
+    """Everything that the picker of one ingress knows.
+
+    Attributes
+    ----------
+    instance, zone, region : str
+        Identity and place of the ingress.
+    subset_size : int
+        Endpoints per pool that this ingress normally uses.
+    zones_out : frozenset of str
+        Zones out of service.
+    services_by_name : dict of str to Service
+        Endpoints by the service that they announce.
+    views_by_pool : dict of str to PoolView
+        Computed views; emptied when members or zones change.
+    """
+
+    instance: str
+    zone: str
+    region: str
+    subset_size: int = DEFAULT_SUBSET_SIZE
+    zones_out: frozenset[str] = frozenset()
+    services_by_name: dict[str, Service] = dataclasses.field(default_factory=dict)
+    endpoints_by_instance: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
+    views_by_pool: dict[object, PoolView] = dataclasses.field(default_factory=dict)
+    next_call_id: int = 1
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/warmup.py
@@ -0,0 +1,214 @@
+"""Cold-start ramp, and recognition of a backend server that turned cold.
+
+A cold backend server starts at one slot or a tenth of its slots and gets one more per
+round of good answers. A warmed-up backend server counts as cold again when its answers
+jump in latency and it sheds. A latency jump alone (a straggler or a slow dependency)
+halves the cap instead: starting every endpoint from one slot because of a shared slow
+dependency would turn a slowdown into an outage.
+"""
+
+import collections
+import dataclasses
+import statistics
+
+from vanillapitch_core.exceptions import check_invariant
+
+__all__ = ["WarmupState", "begin_ramp", "cap", "record_answer"]
+
+START_SHARE = 0.1
+# 12 slots take at least 2.2 s; a round shorter than this sees too little of a backend
+# server whose caches are filling.
+ROUND_MS = 200.0
+# A backend server that stays slow must still get out of the ramp.
+SLOW_ROUND_MS = 1_000.0
+GOOD_LATENCY_FACTOR = 2.0
+HOLD_AFTER_SHED_MS = 500.0
+
+RECENT_ANSWERS = 12
+BASELINE_SAMPLES = 20
+BASELINE_WEIGHT = 0.02
+# A jump must not raise the baseline before it is recognised.
+BASELINE_SAMPLE_FACTOR = 2.0
+SHEDS_WITH_LATENCY_JUMP = 2
+LATENCY_FACTOR_WITH_SHEDS = 2.0
+SHEDS_ALONE = 6
+# 7 of 12 exponentially distributed latencies exceed 4 times their mean in fewer than
+# one of 10**8 windows.
+LATENCY_FACTOR_ALONE = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Answer:
+    shed: bool
+    latency_ms: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WarmupState:
+    """How much work a backend server gets while it warms up.
+
+    Attributes
+    ----------
+    ceiling : int
+        Concurrent requests of a warm backend server.
+    cold : bool
+        Whether a ramp is in progress.
+    slots : float
+        Concurrent requests during the ramp.
+    baseline_ms : float
+        Moving average of the latency when warm; 0 before the first answer.
+    """
+
+    ceiling: int
+    cold: bool = False
+    slots: float = 1.0
+    baseline_ms: float = 0.0
+    baseline_samples: int = 0
+    round_answers: int = 0
+    round_total_ms: float = 0.0
+    round_started_at_ms: float = 0.0
+    hold_until_ms: float = 0.0
+    recent: collections.deque[_Answer] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=RECENT_ANSWERS)
+    )
+
+
+def begin_ramp(state: WarmupState, *, now_ms: float) -> None:
+    """Start from a low level: at start, after a restart or when a zone is back.
+
+    Parameters
+    ----------
+    state : WarmupState
+        The ramp.
+    now_ms : float
+        Current time in milliseconds.
+    """
+    _begin(state, slots=max(1.0, state.ceiling * START_SHARE), now_ms=now_ms)
+
+
+def cap(state: WarmupState) -> int:
+    """Return how many requests may run at once.
+
+    Parameters
+    ----------
+    state : WarmupState
+        The ramp.
+
+    Returns
+    -------
+    int
+        From 1 to the ceiling.
+    """
+    slots = int(state.slots) if state.cold else state.ceiling
+    check_invariant(1 <= slots <= state.ceiling, "the cap is from 1 to the ceiling")
+    return slots
+
+
+def record_answer(
+    state: WarmupState, *, shed: bool, latency_ms: float, now_ms: float
+) -> bool:
+    """Take an answer of the backend server as evidence.
+
+    Parameters
+    ----------
+    state : WarmupState
+        The ramp.
+    shed : bool
+        Whether the backend server refused for load.
+    latency_ms : float
+        Time until the answer, in milliseconds.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    bool
+        Whether this answer showed that a warm backend server turned cold.
+    """
+    if state.cold:
+        _record_in_ramp(state, shed=shed, latency_ms=latency_ms, now_ms=now_ms)
+        return False
+    state.recent.append(_Answer(shed=shed, latency_ms=latency_ms))
+    slots = _recognise_cold(state)
+    if slots is not None:
+        _begin(state, slots=slots, now_ms=now_ms)
+        return True
+    if not shed:
+        _update_baseline(state, latency_ms=latency_ms)
+    return False
+
+
+def _begin(state: WarmupState, *, slots: float, now_ms: float) -> None:
+    state.cold = True
+    state.slots = min(float(state.ceiling), slots)
+    state.hold_until_ms = 0.0
+    state.recent.clear()
+    _begin_round(state, now_ms=now_ms)
+
+
+def _begin_round(state: WarmupState, *, now_ms: float) -> None:
+    state.round_answers = 0
+    state.round_total_ms = 0.0
+    state.round_started_at_ms = now_ms
+
+
+def _record_in_ramp(
+    state: WarmupState, *, shed: bool, latency_ms: float, now_ms: float
+) -> None:
+    if shed:
+        if now_ms >= state.hold_until_ms:
+            state.slots = max(1.0, state.slots / 2)
+        state.hold_until_ms = now_ms + HOLD_AFTER_SHED_MS
+        _begin_round(state, now_ms=now_ms)
+        return
+    state.round_answers += 1
+    state.round_total_ms += latency_ms
+    if now_ms < state.hold_until_ms or state.round_answers < int(state.slots):
+        return
+    mean_ms = state.round_total_ms / state.round_answers
+    good_ms = state.baseline_ms * GOOD_LATENCY_FACTOR
+    good = state.baseline_samples < BASELINE_SAMPLES or mean_ms <= good_ms
+    if now_ms - state.round_started_at_ms < (ROUND_MS if good else SLOW_ROUND_MS):
+        return
+    state.slots += 1.0
+    _begin_round(state, now_ms=now_ms)
+    if state.slots >= state.ceiling:
+        _end_ramp(state, latency_ms=mean_ms)
+
+
+def _end_ramp(state: WarmupState, *, latency_ms: float) -> None:
+    state.cold = False
+    state.slots = float(state.ceiling)
+    # What the backend server does at the end of the ramp is the new normal; else a
+    # lasting slowdown would start one ramp after the other.
+    state.baseline_ms = latency_ms
+    state.baseline_samples = BASELINE_SAMPLES
+
+
+def _recognise_cold(state: WarmupState) -> float | None:
+    """Return the slots to start the ramp from, or None for a warm backend server."""
+    low = max(1.0, state.ceiling * START_SHARE)
+    sheds = sum(answer.shed for answer in state.recent)
+    if sheds >= SHEDS_ALONE:
+        return low
+    if state.baseline_samples < BASELINE_SAMPLES:
+        return None
+    latencies_ms = [answer.latency_ms for answer in state.recent if not answer.shed]
+    if len(latencies_ms) < RECENT_ANSWERS // 2:
+        return None
+    jump = statistics.median(latencies_ms) / max(state.baseline_ms, 1e-9)
+    if sheds >= SHEDS_WITH_LATENCY_JUMP and jump > LATENCY_FACTOR_WITH_SHEDS:
+        return low
+    if len(state.recent) == RECENT_ANSWERS and jump > LATENCY_FACTOR_ALONE:
+        return max(1.0, state.ceiling / 2)
+    return None
+
+
+def _update_baseline(state: WarmupState, *, latency_ms: float) -> None:
+    state.baseline_samples += 1
+    if state.baseline_samples <= BASELINE_SAMPLES:
+        weight = 1.0 / state.baseline_samples
+    else:
+        weight = BASELINE_WEIGHT
+        latency_ms = min(latency_ms, state.baseline_ms * BASELINE_SAMPLE_FACTOR)
+    state.baseline_ms += weight * (latency_ms - state.baseline_ms)
