--- a/packages/vanillapitch-core/src/vanillapitch_core/__init__.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/__init__.py
@@ -5,11 +5,17 @@
 """
 
 from vanillapitch_core.clock import Clock, ManualClock, SystemClock
-from vanillapitch_core.exceptions import TableError, VanillapitchError
+from vanillapitch_core.exceptions import (
+    InvariantError,
+    TableError,
+    VanillapitchError,
+    check_invariant,
+)
 from vanillapitch_core.outcome import Outcome, Refusal, RefusalCode
 
 __all__ = [
     "Clock",
+    "InvariantError",
     "ManualClock",
     "Outcome",
     "Refusal",
@@ -17,4 +23,5 @@
     "SystemClock",
     "TableError",
     "VanillapitchError",
+    "check_invariant",
 ]
--- /dev/null
+++ b/packages/vanillapitch-core/tests/test_decisions.py
@@ -0,0 +1,271 @@
+"""Tests of single decisions."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from vanillapitch_core import InvariantError, admission, health, picking, probes, warmup
+from vanillapitch_core.quarantine import (
+    QuarantineState,
+    Strike,
+    compute_fingerprint,
+    is_quarantined,
+    merge_strikes,
+    record_answer,
+    strikes_to_share,
+)
+from vanillapitch_core.tables import Pool
+
+EVENTS = settings(derandomize=True, max_examples=100, deadline=None)
+
+
+@EVENTS
+@given(
+    slots=st.integers(1, 40),
+    events=st.lists(
+        st.tuples(
+            st.floats(0, 5_000),
+            st.one_of(st.floats(0, 100), st.just(60_000.0)),
+            st.booleans(),
+        ),
+        max_size=60,
+    ),
+)
+def test_probes_stay_within_their_share_of_slot_time(slots, events):
+    # Guards against probes that load the backend server they measure; a probe that
+    # overruns (60 s, a paused daemon) delays the next ones instead.
+    budget = probes.ProbeBudget(slots=slots)
+    now_ms, used_ms = 0.0, 0.0
+    for step_ms, duration_ms, paused in events:
+        now_ms += 60_000.0 if paused else step_ms
+        if not probes.start_probe(budget, last_result_at_ms=None, now_ms=now_ms):
+            continue
+        assert used_ms + budget.timeout_ms <= now_ms * slots * 0.01 + 1e-6
+        now_ms += duration_ms
+        used_ms += duration_ms
+        probes.finish_probe(budget, duration_ms=duration_ms, now_ms=now_ms)
+
+
+def test_probe_is_unnecessary_after_a_recent_result():
+    # Guards against probes that repeat what requests already tell.
+    budget = probes.ProbeBudget(slots=12)
+    assert not probes.start_probe(budget, last_result_at_ms=9_500.0, now_ms=10_000.0)
+    assert probes.start_probe(budget, last_result_at_ms=8_000.0, now_ms=10_000.0)
+
+
+def test_probe_that_was_not_started_cannot_finish():
+    # Guards against time that is given back twice.
+    with pytest.raises(InvariantError):
+        probes.finish_probe(probes.ProbeBudget(slots=1), duration_ms=1.0, now_ms=1.0)
+
+
+def make_strike(number, *, fingerprint="f", age_ms=0.0):
+    return Strike(strike_id=f"s{number}", fingerprint=fingerprint, age_ms=age_ms)
+
+
+def test_second_strike_quarantines_until_forgotten():
+    # Guards against a request that takes down one backend server after the other, and
+    # against a quarantine that lasts for ever.
+    state = QuarantineState()
+    merge_strikes(state, strikes=[make_strike(1)], now_ms=0.0)
+    merge_strikes(state, strikes=[make_strike(1)], now_ms=5.0)
+    assert not is_quarantined(state, fingerprint="f", now_ms=10.0)
+    assert merge_strikes(state, strikes=[make_strike(2)], now_ms=10.0)
+    assert is_quarantined(state, fingerprint="f", now_ms=600_009.0)
+    assert not is_quarantined(state, fingerprint="f", now_ms=600_010.0)
+
+
+def test_strikes_heard_in_a_circle_do_not_live_longer():
+    # Guards against daemons that keep a strike alive by telling each other.
+    states = [QuarantineState(), QuarantineState()]
+    merge_strikes(states[0], strikes=[make_strike(1), make_strike(2)], now_ms=0.0)
+    for now_ms in range(0, 700_000, 50_000):
+        for source, target in (states, reversed(states)):
+            shared = strikes_to_share(source, now_ms=float(now_ms))
+            merge_strikes(target, strikes=shared, now_ms=float(now_ms))
+    assert not any(
+        is_quarantined(state, fingerprint="f", now_ms=600_000.0) for state in states
+    )
+
+
+def test_answer_clears_an_innocent_request():
+    # Guards against a popular request that was in flight when others crashed.
+    state = QuarantineState()
+    merge_strikes(state, strikes=[make_strike(1)], now_ms=0.0)
+    record_answer(state, fingerprint="f", now_ms=50.0)
+    assert not merge_strikes(state, strikes=[make_strike(1, age_ms=60.0)], now_ms=60.0)
+    merge_strikes(state, strikes=[make_strike(2)], now_ms=100.0)
+    assert not is_quarantined(state, fingerprint="f", now_ms=101.0)
+
+
+@EVENTS
+@given(
+    numbers=st.lists(st.tuples(st.integers(0, 9), st.integers(0, 30)), max_size=60),
+    rng=st.randoms(use_true_random=False),
+)
+def test_merging_strikes_is_idempotent_and_bounded(numbers, rng):
+    # Guards against a table that grows with hostile requests, and against daemons
+    # that disagree because they heard the same strikes in another order.
+    strikes = [
+        Strike(strike_id=f"{fingerprint}-{number}", fingerprint=str(fingerprint))
+        for number, fingerprint in numbers
+    ]
+    one, other = QuarantineState(), QuarantineState()
+    merge_strikes(one, strikes=strikes, now_ms=0.0)
+    shuffled = strikes + strikes[::2]
+    rng.shuffle(shuffled)
+    merge_strikes(other, strikes=shuffled, now_ms=0.0)
+    for fingerprint in map(str, range(31)):
+        assert is_quarantined(one, fingerprint=fingerprint, now_ms=1.0) == (
+            is_quarantined(other, fingerprint=fingerprint, now_ms=1.0)
+        )
+    small = QuarantineState(max_fingerprints=5)
+    merge_strikes(small, strikes=strikes, now_ms=0.0)
+    assert len(small.struck_at_ms_by_fingerprint) <= 5
+
+
+def test_fingerprints_tell_requests_apart():
+    # Guards against a quarantine that hits another request.
+    parts = [("GET", "a", "/x", b""), ("GET", "a/", "x", b""), ("GET", "a", "/x", b"1")]
+    fingerprints = {
+        compute_fingerprint(method=m, host=h, target=t, body=b) for m, h, t, b in parts
+    }
+    assert len(fingerprints) == 3
+
+
+@pytest.mark.parametrize(
+    ("fast", "bad_probe", "expected"),
+    [(False, False, 5), (True, False, 3), (False, True, 2)],
+)
+def test_failures_needed_to_eject(fast, bad_probe, expected):
+    # Guards against probes that eject alone and fast failures that are put up with.
+    state = health.HealthState()
+    for instance in "abcd":
+        health.add_endpoint(state, instance=instance)
+    if bad_probe:
+        health.record_probe(state, instance="a", healthy=False, now_ms=0.0)
+    assert health.count_ejected(state) == 0
+    needed = 0
+    while not health.count_ejected(state):
+        health.record_request(state, instance="a", failed=True, fast=fast, now_ms=1.0)
+        needed += 1
+    assert needed == expected
+
+
+def test_good_probe_does_not_restore():
+    # Guards against a health endpoint that answers while requests fail.
+    state = health.HealthState()
+    for instance in "ab":
+        health.add_endpoint(state, instance=instance)
+    for _ in range(5):
+        health.record_request(state, instance="a", failed=True, fast=False, now_ms=0.0)
+    health.record_probe(state, instance="a", healthy=True, now_ms=1.0)
+    assert health.count_ejected(state) == 1
+
+
+def test_subset_is_stable():
+    # Guards against connections that are all rebuilt when one endpoint leaves.
+    endpoints = [
+        picking.Endpoint(instance=f"e{n}", service="s", zone="z", region="r")
+        for n in range(40)
+    ]
+    before = picking.choose_subset(ingress="i", endpoints=endpoints, size=8)
+    rest = [endpoint for endpoint in endpoints if endpoint is not before[0]]
+    after = picking.choose_subset(ingress="i", endpoints=rest, size=8)
+    assert [e.instance for e in after[:7]] == [e.instance for e in before[1:]]
+
+
+def test_unknown_endpoint_gets_one_call_until_it_answers():
+    # Guards against a burst on an endpoint that was just announced.
+    state = picking.PickerState(instance="me", zone="z", region="r")
+    rng = random.Random(1)
+    pool = Pool(name="p", service="s")
+    picking.add_endpoint(state, instance="old", service="s", zone="z", region="r")
+    first = picking.pick(state, pool=pool, now_ms=0.0, rng=rng)
+    picking.record_result(
+        state,
+        instance="old",
+        call_id=first.call_id,
+        result=picking.CallResult.ANSWERED,
+        latency_ms=5.0,
+        now_ms=5.0,
+    )
+    picking.add_endpoint(state, instance="new", service="s", zone="z", region="r")
+    picks = [picking.pick(state, pool=pool, now_ms=6.0, rng=rng) for _ in range(20)]
+    assert [picked.instance for picked in picks].count("new") == 1
+
+
+def test_refused_connection_is_avoided_at_once():
+    # Guards against retries that meet the same dead owner.
+    state = picking.PickerState(instance="me", zone="z", region="r")
+    rng = random.Random(1)
+    pool = Pool(name="p", service="s")
+    for instance in "ab":
+        picking.add_endpoint(
+            state, instance=instance, service="s", zone="z", region="r"
+        )
+    first = picking.pick(state, pool=pool, now_ms=0.0, rng=rng)
+    picking.record_result(
+        state,
+        instance=first.instance,
+        call_id=first.call_id,
+        result=picking.CallResult.UNREACHABLE,
+        latency_ms=0.1,
+        now_ms=0.1,
+    )
+    others = {
+        picking.pick(state, pool=pool, now_ms=1.0 + n, rng=rng).instance
+        for n in range(20)
+    }
+    assert others == {"a", "b"} - {first.instance}
+
+
+def test_deadline_below_the_latency_floor_is_refused_until_the_floor_expires():
+    # Guards against work that is certainly late, and against refusing it for ever.
+    state = admission.AdmissionState(slots=4, connections=200)
+
+    def admit(ticket, now_ms):
+        request = admission.AdmissionRequest(
+            ticket=ticket, priority=5, remaining_ms=20.0
+        )
+        return admission.admit(state, request, now_ms=now_ms)[0].decision
+
+    assert admit("1", 0.0) is admission.Decision.ADMITTED
+    admission.release(
+        state,
+        ticket="1",
+        kind=admission.AnswerKind.ANSWERED,
+        latency_ms=50.0,
+        now_ms=50.0,
+    )
+    assert admit("2", 60.0) is admission.Decision.REFUSED
+    assert admit("3", 2_100.0) is admission.Decision.ADMITTED
+
+
+def test_latency_jump_with_sheds_starts_the_ramp():
+    # Guards against full load on a backend server that was restarted unnoticed.
+    state = warmup.WarmupState(ceiling=12)
+    for _ in range(30):
+        assert not warmup.record_answer(state, shed=False, latency_ms=10.0, now_ms=0.0)
+    turned = [
+        warmup.record_answer(state, shed=n % 4 == 0, latency_ms=50.0, now_ms=1.0)
+        for n in range(12)
+    ]
+    assert any(turned)
+    assert warmup.cap(state) == 1
+
+
+def test_ramp_reaches_the_ceiling_and_halves_on_a_shed():
+    # Guards against a ramp that never ends or that ignores sheds.
+    state = warmup.WarmupState(ceiling=12)
+    warmup.begin_ramp(state, now_ms=0.0)
+    caps, now_ms, sheds = [], 0.0, 0
+    while state.cold and now_ms < 10_000.0:
+        now_ms += 20.0
+        shed = sheds == 0 and warmup.cap(state) == 8
+        sheds += shed
+        warmup.record_answer(state, shed=shed, latency_ms=10.0, now_ms=now_ms)
+        caps.append(warmup.cap(state))
+    assert caps[-1] == 12
+    assert 4 in caps[caps.index(8) :]
