--- a/packages/vanillapitch-core/src/vanillapitch_core/admission/__init__.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/admission/__init__.py
@@ -16,16 +16,19 @@
     set_zone_in_service,
 )
 from vanillapitch_core.admission._state import (
+    DEFAULT_MAX_WAIT_MS,
     AdmissionRequest,
     AdmissionState,
     AnswerKind,
     Decision,
     TicketDecision,
+    count_in_flight,
     current_limit,
     report_state,
 )
 
 __all__ = [
+    "DEFAULT_MAX_WAIT_MS",
     "AdmissionRequest",
     "AdmissionState",
     "AnswerKind",
@@ -35,6 +38,7 @@
     "begin_cold_start",
     "begin_leaving",
     "cancel_waiter",
+    "count_in_flight",
     "current_limit",
     "end_leaving",
     "expire_waiters",
--- a/packages/vanillapitch-core/src/vanillapitch_core/admission/_decide.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/admission/_decide.py
@@ -1,10 +1,13 @@
 """Decisions of admission."""
 
 import bisect
+from collections.abc import Hashable
 
 from vanillapitch_core import warmup
 from vanillapitch_core.admission._limit import record_shed, record_success
 from vanillapitch_core.admission._state import (
+    MAX_ABANDONED_MS,
+    MIN_ABANDONED_MS,
     AdmissionRequest,
     AdmissionState,
     AnswerKind,
@@ -12,6 +15,7 @@
     TicketDecision,
     Waiter,
     check_bounds,
+    count_in_flight,
     current_limit,
 )
 from vanillapitch_core.exceptions import check_invariant
@@ -37,6 +41,12 @@
     RefusalCode.DEADLINE_NOT_RUN: "The deadline cannot be met.",
 }
 
+_WARMUP_KIND_BY_KIND = {
+    AnswerKind.ANSWERED: warmup.WarmupAnswer.GOOD,
+    AnswerKind.SHED: warmup.WarmupAnswer.SHED,
+    AnswerKind.FAILED: warmup.WarmupAnswer.FAILED,
+}
+
 
 def admit(
     state: AdmissionState, request: AdmissionRequest, *, now_ms: float
@@ -64,7 +74,7 @@
     code = _find_objection(state, request, now_ms=now_ms)
     if code is not None:
         return [_refuse(request.ticket, code)]
-    if _has_room(state) and not _is_behind(state, request.priority):
+    if _has_room(state, now_ms=now_ms) and not _is_behind(state, request.priority):
         return [_start(state, request.ticket)]
     return _queue(state, request, now_ms=now_ms)
 
@@ -72,7 +82,7 @@
 def release(
     state: AdmissionState,
     *,
-    ticket: str,
+    ticket: Hashable,
     kind: AnswerKind,
     latency_ms: float,
     now_ms: float,
@@ -83,7 +93,7 @@
     ----------
     state : AdmissionState
         State of admission.
-    ticket : str
+    ticket : hashable
         The request that ended.
     kind : AnswerKind
         How it ended.
@@ -102,6 +112,9 @@
     )
     _learn(state, kind=kind, latency_ms=latency_ms, now_ms=now_ms)
     state.in_flight_tickets.remove(ticket)
+    if kind is AnswerKind.ABANDONED:
+        occupied_ms = min(MAX_ABANDONED_MS, max(MIN_ABANDONED_MS, latency_ms))
+        state.abandoned_until_ms.append(now_ms + occupied_ms)
     return _settle_waiters(state, now_ms=now_ms)
 
 
@@ -123,14 +136,14 @@
     return _settle_waiters(state, now_ms=now_ms)
 
 
-def cancel_waiter(state: AdmissionState, *, ticket: str) -> bool:
+def cancel_waiter(state: AdmissionState, *, ticket: Hashable) -> bool:
     """Remove a request from the wait because its caller left.
 
     Parameters
     ----------
     state : AdmissionState
         State of admission.
-    ticket : str
+    ticket : hashable
         The request.
 
     Returns
@@ -258,21 +271,21 @@
     return None
 
 
-def _has_room(state: AdmissionState) -> bool:
-    return len(state.in_flight_tickets) < current_limit(state)
+def _has_room(state: AdmissionState, *, now_ms: float) -> bool:
+    return count_in_flight(state, now_ms=now_ms) < current_limit(state)
 
 
 def _is_behind(state: AdmissionState, priority: int) -> bool:
     return bool(state.waiters) and state.waiters[0].request.priority >= priority
 
 
-def _start(state: AdmissionState, ticket: str) -> TicketDecision:
+def _start(state: AdmissionState, ticket: Hashable) -> TicketDecision:
     state.in_flight_tickets.add(ticket)
     check_bounds(state)
     return TicketDecision(ticket=ticket, decision=Decision.ADMITTED)
 
 
-def _refuse(ticket: str, code: RefusalCode) -> TicketDecision:
+def _refuse(ticket: Hashable, code: RefusalCode) -> TicketDecision:
     refusal = Refusal(code=code, outcome=Outcome.NOT_RUN, detail=_DETAIL_BY_CODE[code])
     return TicketDecision(ticket=ticket, decision=Decision.REFUSED, refusal=refusal)
 
@@ -319,7 +332,7 @@
         if code is not None:
             state.waiters.remove(waiter)
             decisions.append(_refuse(waiter.request.ticket, code))
-    while state.waiters and _has_room(state):
+    while state.waiters and _has_room(state, now_ms=now_ms):
         waiter = state.waiters.pop(0)
         decisions.append(_start(state, waiter.request.ticket))
     decisions.extend(_trim_waiters(state))
@@ -343,18 +356,21 @@
 def _learn(
     state: AdmissionState, *, kind: AnswerKind, latency_ms: float, now_ms: float
 ) -> None:
-    if kind is AnswerKind.OTHER:
+    if kind in (AnswerKind.ABANDONED, AnswerKind.BROKEN):
         return
-    shed = kind is AnswerKind.SHED
-    warmup.record_answer(state.ramp, shed=shed, latency_ms=latency_ms, now_ms=now_ms)
-    if shed:
+    answer_kind = _WARMUP_KIND_BY_KIND[kind]
+    warmup.record_answer(
+        state.ramp, kind=answer_kind, latency_ms=latency_ms, now_ms=now_ms
+    )
+    if kind is AnswerKind.SHED:
         record_shed(state.limit, now_ms=now_ms)
+    if kind is not AnswerKind.ANSWERED:
         return
     state.floor.record(latency_ms=latency_ms, now_ms=now_ms)
     record_success(
         state.limit,
         latency_ms=latency_ms,
         baseline_ms=state.ramp.baseline_ms,
-        in_flight=len(state.in_flight_tickets),
+        in_flight=count_in_flight(state, now_ms=now_ms),
         now_ms=now_ms,
     )
--- a/packages/vanillapitch-core/src/vanillapitch_core/admission/_state.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/admission/_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Hashable
 
 from vanillapitch_core.admission._limit import LatencyFloor, LimitState
 from vanillapitch_core.exceptions import check_invariant
@@ -9,6 +10,7 @@
 from vanillapitch_core.warmup import WarmupState, cap
 
 __all__ = [
+    "DEFAULT_MAX_WAIT_MS",
     "AdmissionRequest",
     "AdmissionState",
     "AnswerKind",
@@ -16,11 +18,16 @@
     "TicketDecision",
     "Waiter",
     "check_bounds",
+    "count_in_flight",
     "current_limit",
     "report_state",
 ]
 
 
+# How long an abandoned request still occupies a slot is unknown. It is taken to run as
+# long again as it has run, within these bounds.
+MIN_ABANDONED_MS = 50.0
+MAX_ABANDONED_MS = 1_000.0
 # At twice capacity, an immediate refusal gave 94% of capacity in a trial with 12 slots,
 # because slots were idle until the next arrival; this wait gave 99% or more and added
 # 3 ms to p99.
@@ -33,8 +40,12 @@
 
     ANSWERED = "answered"
     SHED = "shed"
-    # Cancelled, expired or failed: the latency says nothing about the load.
-    OTHER = "other"
+    # A server error; together with a latency jump it is a sign of a cold start.
+    FAILED = "failed"
+    # Given up by the daemon; the backend server may still be working on it.
+    ABANDONED = "abandoned"
+    # The connection broke or was refused, so nothing runs and nothing is learned.
+    BROKEN = "broken"
 
 
 class Decision(enum.Enum):
@@ -51,7 +62,7 @@
 
     Attributes
     ----------
-    ticket : str
+    ticket : hashable
         Unique id of the request at this owner.
     priority : int
         0 to 9; 9 is refused last.
@@ -62,7 +73,7 @@
         endpoint elsewhere.
     """
 
-    ticket: str
+    ticket: Hashable
     priority: int
     remaining_ms: float
     serve_when_zone_out: bool = False
@@ -74,7 +85,7 @@
 
     Attributes
     ----------
-    ticket : str
+    ticket : hashable
         The request.
     decision : Decision
         What becomes of it.
@@ -82,7 +93,7 @@
         Why it is refused.
     """
 
-    ticket: str
+    ticket: Hashable
     decision: Decision
     refusal: Refusal | None = None
 
@@ -120,8 +131,10 @@
         Requests that may wait; 0 refuses at once. None is half of the slots.
     max_wait_ms : float
         Longest wait.
-    in_flight_tickets : set of str
+    in_flight_tickets : set of hashable
         Requests that run.
+    abandoned_until_ms : list of float
+        Time until which each abandoned request counts as running.
     waiters : list of Waiter
         Requests that wait, highest priority first, then in order of arrival.
     zone_in_service : bool
@@ -136,7 +149,8 @@
     connections: int
     max_waiting: int | None = None
     max_wait_ms: float = DEFAULT_MAX_WAIT_MS
-    in_flight_tickets: set[str] = dataclasses.field(default_factory=set)
+    in_flight_tickets: set[Hashable] = dataclasses.field(default_factory=set)
+    abandoned_until_ms: list[float] = dataclasses.field(default_factory=list)
     waiters: list[Waiter] = dataclasses.field(default_factory=list)
     zone_in_service: bool = True
     leaving: bool = False
@@ -197,6 +211,28 @@
     return "cold" if state.ramp.cold else "ready"
 
 
+def count_in_flight(state: AdmissionState, *, now_ms: float) -> int:
+    """Count the requests that may be running at the backend server.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        State of admission.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    int
+        Requests in flight and requests that were abandoned a short time ago.
+    """
+    if state.abandoned_until_ms:
+        state.abandoned_until_ms = [
+            until_ms for until_ms in state.abandoned_until_ms if until_ms > now_ms
+        ]
+    return len(state.in_flight_tickets) + len(state.abandoned_until_ms)
+
+
 def check_bounds(state: AdmissionState) -> None:
     """Check the invariants that hold after every event.
 
@@ -205,8 +241,9 @@
     state : AdmissionState
         State of admission.
     """
+    in_flight = len(state.in_flight_tickets) + len(state.abandoned_until_ms)
     check_invariant(
-        len(state.in_flight_tickets) <= state.ceiling,
+        in_flight <= state.ceiling,
         f"at most {state.ceiling} requests are in flight",
     )
     check_invariant(
--- a/packages/vanillapitch-core/src/vanillapitch_core/warmup.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/warmup.py
@@ -2,18 +2,19 @@
 
 A cold backend server starts at one slot or a tenth of its slots and gets one more per
 round of good answers. A warmed-up backend server counts as cold again when its answers
-jump in latency and it sheds. A latency jump alone (a straggler or a slow dependency)
-halves the cap instead: starting every endpoint from one slot because of a shared slow
-dependency would turn a slowdown into an outage.
+jump in latency and it sheds or fails. A latency jump alone (a straggler or a slow
+dependency) halves the cap instead: starting every endpoint from one slot because of a
+shared slow dependency would turn a slowdown into an outage.
 """
 
 import collections
 import dataclasses
+import enum
 import statistics
 
 from vanillapitch_core.exceptions import check_invariant
 
-__all__ = ["WarmupState", "begin_ramp", "cap", "record_answer"]
+__all__ = ["WarmupAnswer", "WarmupState", "begin_ramp", "cap", "record_answer"]
 
 START_SHARE = 0.1
 # 12 slots take at least 2.2 s; a round shorter than this sees too little of a backend
@@ -23,23 +24,34 @@
 SLOW_ROUND_MS = 1_000.0
 GOOD_LATENCY_FACTOR = 2.0
 HOLD_AFTER_SHED_MS = 500.0
+# Server errors slow the ramp down like sheds, because a cold backend server may fail
+# what it cannot bear; errors that have lasted this long have another cause.
+MAX_RAMP_WITH_FAILURES_MS = 15_000.0
 
 RECENT_ANSWERS = 12
 BASELINE_SAMPLES = 20
 BASELINE_WEIGHT = 0.02
 # A jump must not raise the baseline before it is recognised.
 BASELINE_SAMPLE_FACTOR = 2.0
-SHEDS_WITH_LATENCY_JUMP = 2
-LATENCY_FACTOR_WITH_SHEDS = 2.0
+SIGNS_WITH_LATENCY_JUMP = 2
+LATENCY_FACTOR_WITH_SIGNS = 2.0
 SHEDS_ALONE = 6
 # 7 of 12 exponentially distributed latencies exceed 4 times their mean in fewer than
 # one of 10**8 windows.
 LATENCY_FACTOR_ALONE = 4.0
 
 
+class WarmupAnswer(enum.Enum):
+    """What an answer says about the load."""
+
+    GOOD = "good"
+    SHED = "shed"
+    FAILED = "failed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Answer:
-    shed: bool
+    kind: WarmupAnswer
     latency_ms: float
 
 
@@ -67,6 +79,7 @@
     round_answers: int = 0
     round_total_ms: float = 0.0
     round_started_at_ms: float = 0.0
+    ramp_started_at_ms: float = 0.0
     hold_until_ms: float = 0.0
     recent: collections.deque[_Answer] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=RECENT_ANSWERS)
@@ -105,7 +118,7 @@
 
 
 def record_answer(
-    state: WarmupState, *, shed: bool, latency_ms: float, now_ms: float
+    state: WarmupState, *, kind: WarmupAnswer, latency_ms: float, now_ms: float
 ) -> bool:
     """Take an answer of the backend server as evidence.
 
@@ -113,8 +126,8 @@
     ----------
     state : WarmupState
         The ramp.
-    shed : bool
-        Whether the backend server refused for load.
+    kind : WarmupAnswer
+        Whether the backend server refused for load or failed.
     latency_ms : float
         Time until the answer, in milliseconds.
     now_ms : float
@@ -126,14 +139,14 @@
         Whether this answer showed that a warm backend server turned cold.
     """
     if state.cold:
-        _record_in_ramp(state, shed=shed, latency_ms=latency_ms, now_ms=now_ms)
+        _record_in_ramp(state, kind=kind, latency_ms=latency_ms, now_ms=now_ms)
         return False
-    state.recent.append(_Answer(shed=shed, latency_ms=latency_ms))
+    state.recent.append(_Answer(kind=kind, latency_ms=latency_ms))
     slots = _recognise_cold(state)
     if slots is not None:
         _begin(state, slots=slots, now_ms=now_ms)
         return True
-    if not shed:
+    if kind is WarmupAnswer.GOOD:
         _update_baseline(state, latency_ms=latency_ms)
     return False
 
@@ -142,6 +155,7 @@
     state.cold = True
     state.slots = min(float(state.ceiling), slots)
     state.hold_until_ms = 0.0
+    state.ramp_started_at_ms = now_ms
     state.recent.clear()
     _begin_round(state, now_ms=now_ms)
 
@@ -153,9 +167,13 @@
 
 
 def _record_in_ramp(
-    state: WarmupState, *, shed: bool, latency_ms: float, now_ms: float
+    state: WarmupState, *, kind: WarmupAnswer, latency_ms: float, now_ms: float
 ) -> None:
-    if shed:
+    if kind is WarmupAnswer.FAILED and (
+        now_ms - state.ramp_started_at_ms > MAX_RAMP_WITH_FAILURES_MS
+    ):
+        kind = WarmupAnswer.GOOD
+    if kind is not WarmupAnswer.GOOD:
         if now_ms >= state.hold_until_ms:
             state.slots = max(1.0, state.slots / 2)
         state.hold_until_ms = now_ms + HOLD_AFTER_SHED_MS
@@ -188,16 +206,19 @@
 def _recognise_cold(state: WarmupState) -> float | None:
     """Return the slots to start the ramp from, or None for a warm backend server."""
     low = max(1.0, state.ceiling * START_SHARE)
-    sheds = sum(answer.shed for answer in state.recent)
+    sheds = sum(answer.kind is WarmupAnswer.SHED for answer in state.recent)
     if sheds >= SHEDS_ALONE:
         return low
     if state.baseline_samples < BASELINE_SAMPLES:
         return None
-    latencies_ms = [answer.latency_ms for answer in state.recent if not answer.shed]
+    latencies_ms = [
+        answer.latency_ms for answer in state.recent if answer.kind is WarmupAnswer.GOOD
+    ]
     if len(latencies_ms) < RECENT_ANSWERS // 2:
         return None
     jump = statistics.median(latencies_ms) / max(state.baseline_ms, 1e-9)
-    if sheds >= SHEDS_WITH_LATENCY_JUMP and jump > LATENCY_FACTOR_WITH_SHEDS:
+    signs = len(state.recent) - len(latencies_ms)
+    if signs >= SIGNS_WITH_LATENCY_JUMP and jump > LATENCY_FACTOR_WITH_SIGNS:
         return low
     if len(state.recent) == RECENT_ANSWERS and jump > LATENCY_FACTOR_ALONE:
         return max(1.0, state.ceiling / 2)
--- a/packages/vanillapitch-core/tests/test_decision_machines.py
+++ b/packages/vanillapitch-core/tests/test_decision_machines.py
@@ -126,7 +126,8 @@
         if not hasattr(self, "state"):
             return
         assert self.state.in_flight_tickets == self.running
-        assert len(self.running) <= self.state.slots
+        in_flight = admission.count_in_flight(self.state, now_ms=self.now_ms)
+        assert len(self.running) <= in_flight <= self.state.slots
         assert 1 <= admission.current_limit(self.state) <= self.state.slots
         assert {w.request.ticket for w in self.state.waiters} == set(self.waiting)
 
--- a/packages/vanillapitch-core/tests/test_decision_trials.py
+++ b/packages/vanillapitch-core/tests/test_decision_trials.py
@@ -107,7 +107,7 @@
             )
         elif endpoint.fails_at(now_ms):
             end, duration_ms = (
-                (admission.AnswerKind.OTHER, picking.CallResult.FAILED),
+                (admission.AnswerKind.FAILED, picking.CallResult.FAILED),
                 0.5,
             )
         else:
--- a/packages/vanillapitch-core/tests/test_decisions.py
+++ b/packages/vanillapitch-core/tests/test_decisions.py
@@ -243,14 +243,18 @@
     assert admit("3", 2_100.0) is admission.Decision.ADMITTED
 
 
-def test_latency_jump_with_sheds_starts_the_ramp():
+@pytest.mark.parametrize("sign", ["SHED", "FAILED"])
+def test_latency_jump_with_sheds_or_failures_starts_the_ramp(sign):
     # Guards against full load on a backend server that was restarted unnoticed.
     state = warmup.WarmupState(ceiling=12)
     for _ in range(30):
-        assert not warmup.record_answer(state, shed=False, latency_ms=10.0, now_ms=0.0)
+        assert not warmup.record_answer(
+            state, kind=warmup.WarmupAnswer.GOOD, latency_ms=10.0, now_ms=0.0
+        )
+    kinds = [warmup.WarmupAnswer[sign], *[warmup.WarmupAnswer.GOOD] * 3] * 3
     turned = [
-        warmup.record_answer(state, shed=n % 4 == 0, latency_ms=50.0, now_ms=1.0)
-        for n in range(12)
+        warmup.record_answer(state, kind=kind, latency_ms=50.0, now_ms=1.0)
+        for kind in kinds
     ]
     assert any(turned)
     assert warmup.cap(state) == 1
@@ -263,9 +267,11 @@
     caps, now_ms, sheds = [], 0.0, 0
     while state.cold and now_ms < 10_000.0:
         now_ms += 20.0
-        shed = sheds == 0 and warmup.cap(state) == 8
-        sheds += shed
-        warmup.record_answer(state, shed=shed, latency_ms=10.0, now_ms=now_ms)
+        kind = warmup.WarmupAnswer.GOOD
+        if sheds == 0 and warmup.cap(state) == 8:
+            kind = warmup.WarmupAnswer.SHED
+            sheds = 1
+        warmup.record_answer(state, kind=kind, latency_ms=10.0, now_ms=now_ms)
         caps.append(warmup.cap(state))
     assert caps[-1] == 12
     assert 4 in caps[caps.index(8) :]
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,17 +5,26 @@
 
 import pykka
 from vanillapitch_core import Clock
+from vanillapitch_core.probes import ProbeBudget
 from vanillapitch_wire import Server
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
 
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
+    Quarantine,
     make_application,
     make_attempter,
+    make_quarantine_check,
     make_retrier,
 )
-from vanillapitch_daemon.owner import Admission, BackendClient, Owner, OwnerHandler
+from vanillapitch_daemon.owner import (
+    Admission,
+    BackendClient,
+    Owner,
+    OwnerHandler,
+    Prober,
+)
 from vanillapitch_daemon.picker import Endpoint, Picker
 from vanillapitch_daemon.settings import Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
@@ -37,6 +46,8 @@
         This daemon's own endpoint.
     snapshot : TablesSnapshot
         Tables in force.
+    load : LoadSnapshot
+        Load of this daemon's endpoint.
     picker, admission : pykka.ActorRef
         The actors on the request path.
     callers : CallerServer
@@ -47,16 +58,23 @@
         Connections to other daemons.
     backend : BackendClient
         Connections to the backend server.
+    quarantine : Quarantine
+        Strikes of crashing requests.
+    prober : Prober
+        Probes of the backend server.
     """
 
     endpoint: Endpoint
     snapshot: TablesSnapshot
+    load: LoadSnapshot
     picker: pykka.ActorRef
     admission: pykka.ActorRef
     callers: CallerServer
     peers: Server
     transport: Transport
     backend: BackendClient
+    quarantine: Quarantine
+    prober: Prober
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -80,14 +98,22 @@
         address=(settings.listen.peers.host, settings.listen.peers.port),
         service=settings.backend.service,
         zone=settings.instance.zone,
+        region=settings.instance.region,
     )
     cluster_key = settings.secrets.cluster_key.encode()
     max_frame_bytes = limits.max_body_bytes + FRAME_OVERHEAD_BYTES
     snapshot = TablesSnapshot()
     load = LoadSnapshot()
-    picker = Picker.start(snapshot=snapshot, random_source=random.Random())
+    picker = Picker.start(
+        own=endpoint, snapshot=snapshot, clock=clock, random_source=random.Random()
+    )
     admission = Admission.start(
-        slots=settings.backend.slots, load=load, snapshot=snapshot
+        slots=settings.backend.slots,
+        connections=settings.backend.connections,
+        zone=endpoint.zone,
+        load=load,
+        snapshot=snapshot,
+        clock=clock,
     )
     backend = BackendClient(
         address=(settings.backend.address.host, settings.backend.address.port),
@@ -97,7 +123,6 @@
     )
     owner = Owner(
         instance=endpoint.instance,
-        zone=endpoint.zone,
         admission=admission,
         backend=backend,
         load=load,
@@ -114,10 +139,15 @@
         own_instance=endpoint.instance,
         clock=clock,
     )
+    quarantine = Quarantine(clock=clock)
+    run_attempts = make_retrier(
+        attempt=attempt, clock=clock, record_crash=quarantine.record_crash
+    )
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
         handler=make_application(
-            snapshot=snapshot, run_attempts=make_retrier(attempt=attempt, clock=clock)
+            snapshot=snapshot,
+            run_attempts=make_quarantine_check(run=run_attempts, quarantine=quarantine),
         ),
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
@@ -133,13 +163,50 @@
         },
         max_frame_bytes=max_frame_bytes,
     )
+    prober = _build_prober(
+        settings,
+        admission=admission,
+        backend=backend,
+        load=load,
+        owner=owner,
+        clock=clock,
+    )
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
+        load=load,
         picker=picker,
         admission=admission,
         callers=callers,
         peers=peers,
         transport=transport,
         backend=backend,
+        quarantine=quarantine,
+        prober=prober,
+    )
+
+
+def _build_prober(
+    settings: Settings,
+    *,
+    admission: pykka.ActorRef,
+    backend: BackendClient,
+    load: LoadSnapshot,
+    owner: Owner,
+    clock: Clock,
+) -> Prober:
+    budget = ProbeBudget(
+        slots=settings.backend.slots,
+        budget_percent=settings.limits.probe_budget_percent,
+        started_at_ms=clock.now_ms(),
+    )
+    return Prober(
+        admission=admission,
+        backend=backend,
+        load=load,
+        budget=budget,
+        health_path=settings.backend.health_path,
+        last_answer_at_ms=lambda: owner.last_answer_at_ms,
+        on_probe=lambda healthy, duration_ms: None,
+        clock=clock,
     )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_attempts.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_attempts.py
@@ -150,6 +150,7 @@
         picker.tell(
             DispatchResult(
                 instance=endpoint.instance,
+                call_id=picked.call_id,
                 status=status,
                 latency_ms=clock.now_ms() - started_at_ms,
                 http_status=reply.status if reply else 0,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_retry.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_retry.py
@@ -1,61 +1,84 @@
 """Attempts and retries of one request."""
 
+import threading
 from collections.abc import Callable
 
-from vanillapitch_core import Clock, Outcome, Refusal, RefusalCode
+from vanillapitch_core import Clock, Outcome, Refusal, RefusalCode, retries
 
-from vanillapitch_daemon.calls import Answer, Response
+from vanillapitch_daemon.calls import Answer, CallerRequest, Response
 from vanillapitch_daemon.ingress._attempts import Attempt, Attempter, RoutedRequest
 
 __all__ = ["make_retrier"]
 
-ATTEMPTS_MAX = 3
-
-_NOT_RETRIED_CODES = frozenset(
-    {
-        RefusalCode.BACKEND_CRASHED,
-        RefusalCode.CANCELLED,
-        RefusalCode.DEADLINE_NOT_RUN,
-        RefusalCode.DEADLINE_UNKNOWN,
-        RefusalCode.RESPONSE_TOO_LARGE,
-    }
-)
-
 
 def make_retrier(
-    *, attempt: Attempter, clock: Clock
+    *,
+    attempt: Attempter,
+    clock: Clock,
+    record_crash: Callable[[CallerRequest, str], None] = lambda request, instance: None,
+    count_retry: Callable[[str], None] = lambda reason: None,
 ) -> Callable[[RoutedRequest], Answer]:
     """Build the function that makes the attempts of a request.
 
+    The retry budget is shared by all requests of the function.
+
     Parameters
     ----------
     attempt : callable
         Makes one attempt, see `make_attempter`.
     clock : Clock
         Source of time.
+    record_crash : callable
+        Takes a request during which a backend server died, and the endpoint.
+    count_retry : callable
+        Takes the reason of each decision after a failed attempt.
 
     Returns
     -------
     callable
         Takes a `RoutedRequest` and returns its `Answer`.
     """
+    budget = retries.RetryBudget()
+    lock = threading.Lock()
 
     def run_attempts(routed: RoutedRequest) -> Answer:
+        with lock:
+            retries.record_call(budget)
         excluded: frozenset[str] = frozenset()
         refusal: Refusal | None = None
         first_number = routed.request.attempt
-        for number in range(first_number, first_number + ATTEMPTS_MAX):
+        for number in range(first_number, first_number + retries.MAX_ATTEMPTS):
             if clock.now_ms() >= routed.deadline_ms:
                 return refusal or _make_deadline_refusal()
             current = attempt(routed, number, excluded)
             if isinstance(current.answer, Response):
                 return current.answer
             refusal = _merge_refusals(refusal, current)
-            if not _may_retry(routed, current):
+            if current.answer.code is RefusalCode.BACKEND_CRASHED:
+                record_crash(routed.request, current.instance)
+            if current.status is None:
+                break
+            reason = decide(routed, current, number - first_number + 1)
+            count_retry(reason.value)
+            if not reason.is_retry:
                 break
             excluded |= {current.instance}
         return refusal
 
+    def decide(
+        routed: RoutedRequest, last: Attempt, attempts: int
+    ) -> retries.RetryReason:
+        with lock:
+            return retries.decide_retry(
+                budget,
+                code=last.answer.code,
+                outcome=last.answer.outcome,
+                idempotent=routed.idempotent,
+                attempt=attempts,
+                request_attempt=routed.request.attempt,
+                remaining_ms=routed.deadline_ms - clock.now_ms(),
+            )
+
     return run_attempts
 
 
@@ -74,14 +97,6 @@
     return last.answer
 
 
-def _may_retry(routed: RoutedRequest, last: Attempt) -> bool:
-    if last.status is None:
-        return False
-    if routed.request.attempt > 1 or last.answer.code in _NOT_RETRIED_CODES:
-        return False
-    return last.answer.outcome is Outcome.NOT_RUN or routed.idempotent
-
-
 def _make_deadline_refusal() -> Refusal:
     return Refusal(
         code=RefusalCode.DEADLINE_NOT_RUN,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -80,6 +80,7 @@
     """
     daemon.picker.tell(EndpointChanged(endpoint=daemon.endpoint))
     daemon.peers.start()
+    daemon.prober.start()
     daemon.callers.start()
     _log.info("main: started instance=%s", daemon.endpoint.instance)
 
@@ -103,6 +104,7 @@
     daemon.admission.ask(SetState(state="leaving"))
     daemon.callers.drain()
     drained = daemon.callers.wait_until_drained(drain_timeout_ms / 1000)
+    daemon.prober.stop()
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/__init__.py
@@ -1,7 +1,8 @@
 """The daemon's side towards its own backend server."""
 
-from vanillapitch_daemon.owner._admission import Admission, SetState
+from vanillapitch_daemon.owner._admission import Admission, SetBackendDown, SetState
 from vanillapitch_daemon.owner._backend import BackendClient, Cancellation
+from vanillapitch_daemon.owner._prober import Prober
 from vanillapitch_daemon.owner._service import Owner, OwnerHandler
 
 __all__ = [
@@ -10,5 +11,7 @@
     "Cancellation",
     "Owner",
     "OwnerHandler",
+    "Prober",
+    "SetBackendDown",
     "SetState",
 ]
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_admission.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_admission.py
@@ -1,38 +1,77 @@
 """Actor that admits requests to the backend server."""
 
 import dataclasses
+import threading
 
 import pykka
-from vanillapitch_core import Outcome, Refusal, RefusalCode
+from vanillapitch_core import Clock, Refusal, admission
+from vanillapitch_core.admission import AnswerKind, Decision, TicketDecision
 from vanillapitch_wire.dispatch import LoadReport
 
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 
-__all__ = ["Admission", "Admit", "Admitted", "Release", "SetState"]
+__all__ = [
+    "Admission",
+    "Admit",
+    "ExpireWaiters",
+    "FollowTables",
+    "PendingAdmission",
+    "Release",
+    "SetBackendDown",
+    "SetState",
+    "ask_admission",
+]
+
+
+class PendingAdmission:
+    """Decision about one request, which may come after a short wait."""
+
+    __slots__ = ("_decided", "refusal")
+
+    def __init__(self):
+        self._decided = threading.Event()
+        self.refusal: Refusal | None = None
+
+    def decide(self, refusal: Refusal | None) -> None:
+        """Record the decision; None admits the request."""
+        self.refusal = refusal
+        self._decided.set()
+
+    def wait(self, timeout_ms: float) -> bool:
+        """Wait for the decision and tell whether it was made."""
+        return self._decided.wait(timeout_ms / 1000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Admit:
-    """Ask to run a request.
+    """Ask to run a request; the decision is recorded in `pending`.
 
     Attributes
     ----------
+    pending : PendingAdmission
+        Identifies the request and takes the decision.
     priority : int
         0 to 9; the lowest is refused first.
     remaining_ms : float
         Time until the request's deadline, in milliseconds.
-    serve_in_zone_out : bool
-        Whether the pool serves although its zones are out of service.
+    serve_when_zone_out : bool
+        Whether the request may run although the zone is out of service.
     """
 
+    pending: PendingAdmission
     priority: int
     remaining_ms: float
-    serve_in_zone_out: bool = False
+    serve_when_zone_out: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExpireWaiters:
+    """The longest wait of a request is over."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Admitted:
-    """The request may run; every one is answered with a `Release`."""
+class FollowTables:
+    """The tables may have changed; without requests nothing else would show it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,17 +80,27 @@
 
     Attributes
     ----------
+    pending : PendingAdmission
+        The request.
+    kind : AnswerKind
+        How it ended.
     latency_ms : float
         Duration at the backend server in milliseconds.
-    shed : bool
-        Whether the backend server shed the request.
-    failed : bool
-        Whether no complete response arrived.
+    backend_down : bool
+        Whether the backend server refused a connection.
     """
 
+    pending: PendingAdmission
+    kind: AnswerKind
     latency_ms: float
-    shed: bool
-    failed: bool
+    backend_down: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SetBackendDown:
+    """The backend server refuses connections, or accepts them again."""
+
+    down: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,7 +110,7 @@
     Attributes
     ----------
     state : str
-        ``ready``, ``leaving`` or ``down``.
+        ``ready`` or ``leaving``.
     """
 
     state: str
@@ -73,63 +122,151 @@
     Parameters
     ----------
     slots : int
-        Upper bound of requests in flight.
+        Requests that the backend server runs at once.
+    connections : int
+        Connections that the backend server accepts.
+    zone : str
+        Zone of this endpoint.
     load : LoadSnapshot
         Where the load is published after each change.
     snapshot : TablesSnapshot
         Tables in force.
+    clock : Clock
+        Source of time.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, *, slots: int, load: LoadSnapshot, snapshot: TablesSnapshot):
+    def __init__(
+        self,
+        *,
+        slots: int,
+        connections: int,
+        zone: str,
+        load: LoadSnapshot,
+        snapshot: TablesSnapshot,
+        clock: Clock,
+    ):
         super().__init__()
+        self._zone = zone
         self._load = load
         self._snapshot = snapshot
-        self._slots = slots
-        self._in_flight = 0
-        self._latency_ms = 0.0
-        self._state = "ready"
+        self._clock = clock
+        self._state = admission.AdmissionState(slots=slots, connections=connections)
+        # Whether the backend server is warm is not known.
+        admission.begin_cold_start(self._state, now_ms=clock.now_ms())
+        self._publish(clock.now_ms())
 
-    def on_receive(self, message: object) -> object:
+    def on_receive(self, message: object) -> None:
         """Handle one message."""
-        answer = None
+        now_ms = self._clock.now_ms()
+        self._follow_zone(now_ms)
         match message:
             case Admit():
-                answer = self._admit()
+                self._admit(message, now_ms)
             case Release():
-                self._release(message)
+                self._release(message, now_ms)
+            case ExpireWaiters():
+                decisions = admission.expire_waiters(self._state, now_ms=now_ms)
+                _deliver(decisions)
+            case SetBackendDown():
+                self._set_backend_down(message.down, now_ms)
             case SetState():
-                self._state = message.state
-        self._publish()
-        return answer
-
-    def _release(self, message: Release) -> None:
-        self._in_flight -= 1
-        assert self._in_flight >= 0
-        self._latency_ms += 0.1 * (message.latency_ms - self._latency_ms)
-
-    def _admit(self) -> Admitted | Refusal:
-        if self._state == "leaving":
-            return Refusal(
-                code=RefusalCode.LEAVING,
-                outcome=Outcome.NOT_RUN,
-                detail="The backend server is leaving.",
-            )
-        if self._in_flight >= self._slots:
-            return Refusal(
-                code=RefusalCode.OVERLOADED,
-                outcome=Outcome.NOT_RUN,
-                detail="The backend server is at its limit.",
+                self._set_state(message.state, now_ms)
+        self._publish(now_ms)
+
+    def _admit(self, message: Admit, now_ms: float) -> None:
+        request = admission.AdmissionRequest(
+            ticket=message.pending,
+            priority=message.priority,
+            remaining_ms=message.remaining_ms,
+            serve_when_zone_out=message.serve_when_zone_out,
+        )
+        _deliver(admission.admit(self._state, request, now_ms=now_ms))
+
+    def _release(self, message: Release, now_ms: float) -> None:
+        if message.backend_down:
+            # First, so that no waiter is admitted to a dead backend server.
+            self._set_backend_down(True, now_ms)
+        decisions = admission.release(
+            self._state,
+            ticket=message.pending,
+            kind=message.kind,
+            latency_ms=message.latency_ms,
+            now_ms=now_ms,
+        )
+        _deliver(decisions)
+
+    def _set_backend_down(self, down: bool, now_ms: float) -> None:
+        decisions = admission.set_backend_down(self._state, down=down, now_ms=now_ms)
+        _deliver(decisions)
+
+    def _set_state(self, state: str, now_ms: float) -> None:
+        if state == "leaving":
+            _deliver(admission.begin_leaving(self._state, now_ms=now_ms))
+        else:
+            admission.end_leaving(self._state, now_ms=now_ms)
+
+    def _follow_zone(self, now_ms: float) -> None:
+        in_service = self._zone not in self._snapshot.current.zones_out
+        if in_service != self._state.zone_in_service:
+            decisions = admission.set_zone_in_service(
+                self._state, in_service=in_service, now_ms=now_ms
             )
-        self._in_flight += 1
-        return Admitted()
+            _deliver(decisions)
 
-    def _publish(self) -> None:
+    def _publish(self, now_ms: float) -> None:
+        state = self._state
         self._load.current = LoadReport(
-            in_flight=self._in_flight,
-            limit=self._slots,
-            state=self._state,
-            latency_ms=self._latency_ms,
+            in_flight=admission.count_in_flight(state, now_ms=now_ms),
+            limit=admission.current_limit(state),
+            state=admission.report_state(state),
+            latency_ms=state.limit.latency_ms,
             revision=self._snapshot.current.tables.revision,
         )
+
+
+def ask_admission(
+    actor: pykka.ActorRef,
+    *,
+    priority: int,
+    remaining_ms: float,
+    serve_when_zone_out: bool = False,
+) -> PendingAdmission:
+    """Ask for admission and wait for the decision.
+
+    Parameters
+    ----------
+    actor : pykka.ActorRef
+        The admission actor.
+    priority : int
+        0 to 9; the lowest is refused first.
+    remaining_ms : float
+        Time until the request's deadline, in milliseconds.
+    serve_when_zone_out : bool
+        Whether the request may run although the zone is out of service.
+
+    Returns
+    -------
+    PendingAdmission
+        With a refusal, or without one when the request may run; then it must be
+        ended with a `Release`.
+    """
+    pending = PendingAdmission()
+    actor.tell(
+        Admit(
+            pending=pending,
+            priority=priority,
+            remaining_ms=remaining_ms,
+            serve_when_zone_out=serve_when_zone_out,
+        )
+    )
+    while not pending.wait(admission.DEFAULT_MAX_WAIT_MS):
+        actor.tell(ExpireWaiters())
+    return pending
+
+
+def _deliver(decisions: list[TicketDecision]) -> None:
+    for decision in decisions:
+        if decision.decision is not Decision.QUEUED:
+            decision.ticket.decide(decision.refusal)
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
@@ -7,7 +7,11 @@
 
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
 from urllib3.util.connection import is_connection_dropped
 from vanillapitch_core import Clock
 from vanillapitch_wire.dispatch import DispatchRequest, Header
@@ -16,9 +20,11 @@
 from vanillapitch_daemon.owner.exceptions import (
     BackendCancelled,
     BackendCrashed,
+    BackendError,
     BackendFailed,
     BackendRefused,
     BackendTimedOut,
+    BackendUnreached,
     ResponseTooLarge,
 )
 
@@ -113,7 +119,7 @@
 
         Raises
         ------
-        BackendRefused
+        BackendRefused, BackendUnreached
             No connection was made; the request did not run.
         BackendFailed, BackendCrashed, BackendTimedOut, BackendCancelled
             The request may have run.
@@ -129,6 +135,45 @@
         self._give_back(connection)
         return response
 
+    def accepts_connections(self) -> bool:
+        """Tell whether a new connection is accepted; it is closed at once."""
+        try:
+            self._connect(self._clock.now_ms() + CONNECT_TIMEOUT_MS).close()
+        except BackendError:
+            return False
+        return True
+
+    def probe(self, path: str, *, timeout_ms: float) -> bool:
+        """Ask a health endpoint.
+
+        Parameters
+        ----------
+        path : str
+            Path of the health endpoint.
+        timeout_ms : float
+            Upper bound of the probe, in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether it answered with a status of 200 to 299 in time.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        try:
+            connection = self._take(deadline_ms)
+        except BackendError:
+            return False
+        try:
+            self._set_timeout(connection, deadline_ms)
+            connection.request("GET", path, preload_content=False)
+            response = connection.getresponse()
+            self._read_body(connection, response, deadline_ms)
+        except (BackendError, OSError, HTTPError):
+            connection.close()
+            return False
+        self._give_back(connection)
+        return 200 <= response.status < 300
+
     def close(self) -> None:
         """Close the idle connections."""
         with self._lock:
@@ -235,6 +280,8 @@
             self._connect(deadline_ms).close()
         except BackendRefused:
             return BackendCrashed("the backend server died while it ran the request")
+        except BackendUnreached:
+            return BackendFailed("the backend server cannot be reached any more")
         return BackendFailed(f"the backend server broke the exchange off: {error}")
 
     def _take(self, deadline_ms: float) -> HTTPConnection:
@@ -258,7 +305,16 @@
         )
         try:
             connection.connect()
-        except (OSError, NewConnectionError, HTTPError) as error:
+        except NewConnectionError as error:
+            # A subclass of ConnectTimeoutError, although it is not a timeout.
+            connection.close()
+            raise BackendRefused("the backend server accepts no connection") from error
+        except ConnectTimeoutError as error:
+            # The time may be the caller's, so this does not show that the backend
+            # server is down.
+            connection.close()
+            raise BackendUnreached("no connection was made in time") from error
+        except (OSError, HTTPError) as error:
             connection.close()
             raise BackendRefused("the backend server accepts no connection") from error
         connection.sock.settimeout(remaining_ms / 1000)
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
@@ -2,11 +2,17 @@
 
 import pykka
 from vanillapitch_core import Clock, Outcome, Refusal, RefusalCode
+from vanillapitch_core.admission import AnswerKind
+from vanillapitch_core.tables import WhenZonesOut
 from vanillapitch_wire import current_socket
 from vanillapitch_wire.dispatch import DispatchReply, DispatchRequest, LoadReport
 
 from vanillapitch_daemon.calls import Response
-from vanillapitch_daemon.owner._admission import Admit, Admitted, Release
+from vanillapitch_daemon.owner._admission import (
+    PendingAdmission,
+    Release,
+    ask_admission,
+)
 from vanillapitch_daemon.owner._backend import BackendClient, Cancellation
 from vanillapitch_daemon.owner.exceptions import (
     BackendCancelled,
@@ -14,6 +20,7 @@
     BackendError,
     BackendRefused,
     BackendTimedOut,
+    BackendUnreached,
     ResponseTooLarge,
 )
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
@@ -24,6 +31,7 @@
 
 _REFUSALS_BY_ERROR = {
     BackendRefused: (RefusalCode.NO_ENDPOINT, Outcome.NOT_RUN),
+    BackendUnreached: (RefusalCode.NO_ENDPOINT, Outcome.NOT_RUN),
     BackendCrashed: (RefusalCode.BACKEND_CRASHED, Outcome.UNKNOWN),
     BackendTimedOut: (RefusalCode.DEADLINE_UNKNOWN, Outcome.UNKNOWN),
     BackendCancelled: (RefusalCode.CANCELLED, Outcome.UNKNOWN),
@@ -39,8 +47,6 @@
     ----------
     instance : str
         Name of this endpoint.
-    zone : str
-        Zone of this endpoint.
     admission : pykka.ActorRef
         The admission actor.
     backend : BackendClient
@@ -51,13 +57,17 @@
         Tables in force.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    last_answer_at_ms : float or None
+        When the last request ended.
     """
 
     def __init__(
         self,
         *,
         instance: str,
-        zone: str,
         admission: pykka.ActorRef,
         backend: BackendClient,
         load: LoadSnapshot,
@@ -65,12 +75,12 @@
         clock: Clock,
     ):
         self._instance = instance
-        self._zone = zone
         self._admission = admission
         self._backend = backend
         self._load = load
         self._snapshot = snapshot
         self._clock = clock
+        self.last_answer_at_ms: float | None = None
 
     def dispatch(
         self, request: DispatchRequest, cancellation: Cancellation
@@ -108,60 +118,68 @@
                 outcome=Outcome.NOT_RUN,
                 detail="The deadline passed before the request ran.",
             )
-        if self._zone in self._snapshot.current.zones_out:
-            return Refusal(
-                code=RefusalCode.ZONE_OUT,
-                outcome=Outcome.NOT_RUN,
-                detail=f"Zone {self._zone} is out of service.",
-            )
-        admitted = self._admission.ask(
-            Admit(priority=request.priority, remaining_ms=request.remaining_ms)
+        pending = ask_admission(
+            self._admission,
+            priority=request.priority,
+            remaining_ms=request.remaining_ms,
+            serve_when_zone_out=self._serves_when_zone_out(request),
         )
-        if not isinstance(admitted, Admitted):
-            return admitted
-        return self._run_admitted(request, deadline_ms, cancellation)
+        if pending.refusal is not None:
+            return pending.refusal
+        return self._run_admitted(request, deadline_ms, cancellation, pending)
+
+    def _serves_when_zone_out(self, request: DispatchRequest) -> bool:
+        index = self._snapshot.current
+        pool = index.pools_by_name.get(request.pool)
+        if pool is None or pool.when_zones_out is not WhenZonesOut.SERVE_ANYWAY:
+            return False
+        # An ingress with older tables may not know that the zone is out of service.
+        return request.revision >= index.tables.revision
 
     def _run_admitted(
         self,
         request: DispatchRequest,
         deadline_ms: float,
         cancellation: Cancellation,
+        pending: PendingAdmission,
     ) -> Response | Refusal:
         started_at_ms = self._clock.now_ms()
-        answer: Response | Refusal | None = None
-        try:
-            answer = self._send(request, deadline_ms, cancellation)
-            return answer
-        finally:
-            self._admission.tell(
-                Release(
-                    latency_ms=self._clock.now_ms() - started_at_ms,
-                    shed=isinstance(answer, Refusal)
-                    and answer.code is RefusalCode.OVERLOADED,
-                    failed=not isinstance(answer, Response),
-                )
-            )
-
-    def _send(
-        self,
-        request: DispatchRequest,
-        deadline_ms: float,
-        cancellation: Cancellation,
-    ) -> Response | Refusal:
+        kind = AnswerKind.BROKEN
+        backend_down = False
         try:
             response = self._backend.send(
                 request, deadline_ms=deadline_ms, cancellation=cancellation
             )
+            answer = self._refuse_if_shed(request.pool, response)
+            kind = _kind_of_answer(answer)
         except BackendError as error:
             code, outcome = _REFUSALS_BY_ERROR.get(type(error), _DEFAULT_REFUSAL)
-            return Refusal(code=code, outcome=outcome, detail=f"{error}.".capitalize())
-        if self._is_shed(request.pool, response):
-            return Refusal(
-                code=RefusalCode.OVERLOADED,
-                outcome=Outcome.NOT_RUN,
-                detail="The backend server shed the request.",
+            answer = Refusal(
+                code=code, outcome=outcome, detail=f"{error}.".capitalize()
+            )
+            if isinstance(error, BackendTimedOut | BackendCancelled):
+                kind = AnswerKind.ABANDONED
+            backend_down = isinstance(error, BackendCrashed | BackendRefused)
+        finally:
+            self.last_answer_at_ms = self._clock.now_ms()
+            self._admission.tell(
+                Release(
+                    pending=pending,
+                    kind=kind,
+                    latency_ms=self.last_answer_at_ms - started_at_ms,
+                    backend_down=backend_down,
+                )
             )
-        return response
+        return answer
+
+    def _refuse_if_shed(self, pool_name: str, response: Response) -> Response | Refusal:
+        if not self._is_shed(pool_name, response):
+            return response
+        return Refusal(
+            code=RefusalCode.OVERLOADED,
+            outcome=Outcome.NOT_RUN,
+            detail="The backend server shed the request.",
+        )
 
     def _is_shed(self, pool_name: str, response: Response) -> bool:
         pool = self._snapshot.current.pools_by_name.get(pool_name)
@@ -191,6 +209,12 @@
         return self._owner.dispatch(request, Cancellation(sock=current_socket()))
 
 
+def _kind_of_answer(answer: Response | Refusal) -> AnswerKind:
+    if isinstance(answer, Refusal):
+        return AnswerKind.SHED
+    return AnswerKind.FAILED if answer.status >= 500 else AnswerKind.ANSWERED
+
+
 def _make_response_reply(
     request: DispatchRequest, response: Response, report: LoadReport
 ) -> DispatchReply:
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/exceptions.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/exceptions.py
@@ -9,6 +9,7 @@
     "BackendFailed",
     "BackendRefused",
     "BackendTimedOut",
+    "BackendUnreached",
     "ResponseTooLarge",
 ]
 
@@ -25,6 +26,12 @@
     code = "backend_refused"
 
 
+class BackendUnreached(BackendError):
+    """No connection was made in time, so the request did not run."""
+
+    code = "backend_unreached"
+
+
 class BackendFailed(BackendError):
     """The connection ended before a complete response."""
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/picker.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/picker.py
@@ -4,7 +4,8 @@
 import random
 
 import pykka
-from vanillapitch_core import RefusalCode
+from vanillapitch_core import Clock, RefusalCode, picking
+from vanillapitch_core.picking import CallResult, EndpointState
 from vanillapitch_wire.dispatch import LoadReport
 
 from vanillapitch_daemon.calls import DispatchStatus
@@ -36,12 +37,15 @@
         Service that the backend server announces.
     zone : str
         Availability zone.
+    region : str
+        Region of the zone.
     """
 
     instance: str
     address: tuple[str, int]
     service: str
     zone: str
+    region: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,9 +80,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Picked:
-    """The endpoint to use; every one is answered with a `DispatchResult`."""
+    """The endpoint to use; every one is answered with a `DispatchResult`.
+
+    Attributes
+    ----------
+    endpoint : Endpoint
+        The endpoint.
+    call_id : int
+        Id of the call for its `DispatchResult`.
+    """
 
     endpoint: Endpoint
+    call_id: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,6 +109,8 @@
     ----------
     instance : str
         The endpoint that was picked.
+    call_id : int
+        Id of the call from `Picked`.
     status : DispatchStatus
         How the attempt ended.
     latency_ms : float
@@ -109,6 +124,7 @@
     """
 
     instance: str
+    call_id: int
     status: DispatchStatus
     latency_ms: float
     http_status: int = 0
@@ -116,25 +132,51 @@
     report: LoadReport | None = None
 
 
+_RESULT_BY_STATUS = {
+    DispatchStatus.CONNECT_FAILED: CallResult.UNREACHABLE,
+    DispatchStatus.LOST: CallResult.UNREACHABLE,
+    DispatchStatus.TIMED_OUT: CallResult.TIMED_OUT,
+    DispatchStatus.CANCELLED: CallResult.CANCELLED,
+}
+
+
 class Picker(pykka.ThreadingActor):
     """Owns what this ingress knows of the endpoints.
 
     Parameters
     ----------
+    own : Endpoint
+        This daemon's own endpoint, for its place.
     snapshot : TablesSnapshot
         Tables in force.
+    clock : Clock
+        Source of time.
     random_source : random.Random
         Source of randomness.
+    policy : callable
+        Chooses among the endpoints that may be used.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, *, snapshot: TablesSnapshot, random_source: random.Random):
+    def __init__(
+        self,
+        *,
+        own: Endpoint,
+        snapshot: TablesSnapshot,
+        clock: Clock,
+        random_source: random.Random,
+        policy: picking.PickPolicy = picking.choose_by_score,
+    ):
         super().__init__()
         self._snapshot = snapshot
+        self._clock = clock
         self._random = random_source
+        self._policy = policy
         self._endpoints_by_instance: dict[str, Endpoint] = {}
-        self._in_flight_by_instance: dict[str, int] = {}
+        self._state = picking.PickerState(
+            instance=own.instance, zone=own.zone, region=own.region
+        )
 
     def on_receive(self, message: object) -> object:
         """Handle one message."""
@@ -142,30 +184,80 @@
             case Pick():
                 return self._pick(message)
             case DispatchResult():
-                self._in_flight_by_instance[message.instance] -= 1
+                self._record(message)
             case EndpointChanged():
-                endpoint = message.endpoint
-                self._endpoints_by_instance[endpoint.instance] = endpoint
+                self._add(message.endpoint)
             case EndpointRemoved():
                 self._endpoints_by_instance.pop(message.instance, None)
+                picking.remove_endpoint(self._state, instance=message.instance)
         return None
 
+    def _add(self, endpoint: Endpoint) -> None:
+        known = self._endpoints_by_instance.get(endpoint.instance)
+        if known is not None and known != endpoint:
+            picking.remove_endpoint(self._state, instance=endpoint.instance)
+        self._endpoints_by_instance[endpoint.instance] = endpoint
+        picking.add_endpoint(
+            self._state,
+            instance=endpoint.instance,
+            service=endpoint.service,
+            zone=endpoint.zone,
+            region=endpoint.region,
+        )
+
     def _pick(self, message: Pick) -> Picked | PickFailed:
         index = self._snapshot.current
-        pool = index.pools_by_name[message.pool]
-        candidates = [
-            endpoint
-            for endpoint in self._endpoints_by_instance.values()
-            if endpoint.service == pool.service
-            and endpoint.instance not in message.excluded
-            and endpoint.zone not in index.zones_out
-        ]
-        if not candidates:
+        pool = index.pools_by_name.get(message.pool)
+        if pool is None:
+            # The tables changed after the route was matched.
             return PickFailed(code=RefusalCode.NO_ENDPOINT)
-        sample = self._random.sample(candidates, min(2, len(candidates)))
-        endpoint = min(sample, key=self._in_flight)
-        self._in_flight_by_instance[endpoint.instance] = self._in_flight(endpoint) + 1
-        return Picked(endpoint=endpoint)
-
-    def _in_flight(self, endpoint: Endpoint) -> int:
-        return self._in_flight_by_instance.get(endpoint.instance, 0)
+        if index.zones_out != self._state.zones_out:
+            picking.set_zones_out(self._state, zones_out=index.zones_out)
+        picked = picking.pick(
+            self._state,
+            pool=pool,
+            excluded=message.excluded,
+            now_ms=self._clock.now_ms(),
+            rng=self._random,
+            policy=self._policy,
+        )
+        if isinstance(picked, picking.Unpicked):
+            return PickFailed(code=picked.code)
+        endpoint = self._endpoints_by_instance[picked.instance]
+        return Picked(endpoint=endpoint, call_id=picked.call_id)
+
+    def _record(self, message: DispatchResult) -> None:
+        now_ms = self._clock.now_ms()
+        if message.report is not None:
+            picking.record_report(
+                self._state,
+                instance=message.instance,
+                report=_to_core_report(message.report),
+                now_ms=now_ms,
+            )
+        picking.record_result(
+            self._state,
+            instance=message.instance,
+            call_id=message.call_id,
+            result=_classify(message),
+            latency_ms=message.latency_ms,
+            now_ms=now_ms,
+        )
+
+
+def _to_core_report(report: LoadReport) -> picking.LoadReport:
+    return picking.LoadReport(
+        in_flight=report.in_flight,
+        limit=report.limit,
+        state=EndpointState(report.state),
+        latency_ms=report.latency_ms,
+    )
+
+
+def _classify(message: DispatchResult) -> CallResult:
+    if message.status is DispatchStatus.RESPONSE:
+        failed = message.http_status >= 500
+        return CallResult.FAILED if failed else CallResult.ANSWERED
+    if message.status is DispatchStatus.REFUSED:
+        return picking.classify_refusal(RefusalCode(message.refusal_code))
+    return _RESULT_BY_STATUS[message.status]
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -3,9 +3,11 @@
 import http.server
 import socket
 import threading
+import time
 
 import msgspec
 import pytest
+import urllib3
 from vanillapitch_core import SystemClock
 from vanillapitch_core.tables import Pool, Route, Tables
 from vanillapitch_daemon.assembly import build_daemon
@@ -49,8 +51,9 @@
     """Start backend servers; ``behave`` is called before each answer."""
     servers = []
 
-    def make(behave=lambda handler: None):
-        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), RecordingHandler)
+    def make(behave=lambda handler: None, port=0):
+        address = ("127.0.0.1", port)
+        server = http.server.ThreadingHTTPServer(address, RecordingHandler)
         server.daemon_threads = True
         server.requests = []
         server.behave = behave
@@ -119,3 +122,17 @@
         if not daemon.admission.is_alive():
             continue
         stop_daemon(daemon, drain_timeout_ms=DRAIN_TIMEOUT_MS)
+
+
+@pytest.fixture
+def warm_up():
+    """Send requests until an endpoint has left its cold start."""
+
+    def warm(daemon):
+        deadline_s = time.monotonic() + 10
+        url = f"http://127.0.0.1:{daemon.callers.port}/"
+        while daemon.load.current.state != "ready":
+            assert time.monotonic() < deadline_s
+            assert urllib3.request("GET", url, retries=False, timeout=5).status == 200
+
+    return warm
--- /dev/null
+++ b/packages/vanillapitch-daemon/tests/test_decisions.py
@@ -0,0 +1,145 @@
+"""Tests of the decisions as the actors and the path apply them."""
+
+import threading
+import time
+
+import msgspec
+import urllib3
+from vanillapitch_core import ManualClock, RefusalCode, membership
+from vanillapitch_core.quarantine import compute_fingerprint
+from vanillapitch_core.tables import WhenZonesOut
+from vanillapitch_daemon.calls import CallerRequest
+from vanillapitch_daemon.ingress import Quarantine
+
+
+def send(daemon, method="GET", path="/", **options):
+    url = f"http://127.0.0.1:{daemon.callers.port}{path}"
+    return urllib3.request(method, url, retries=False, timeout=5, **options)
+
+
+def put_tables_in_force(daemon, tables, **fields):
+    changed = msgspec.structs.replace(tables, revision=tables.revision + 1, **fields)
+    daemon.snapshot.replace(changed)
+
+
+def wait_until(condition):
+    deadline_s = time.monotonic() + 5
+    while not condition():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.01)
+
+
+def test_cold_endpoint_gets_one_request_at_a_time(make_backend, make_daemons):
+    # Guards against full load on a backend server that has just started.
+    running, most = [], []
+    lock = threading.Lock()
+
+    def behave(handler):
+        with lock:
+            running.append(handler)
+            most.append(len(running))
+        time.sleep(0.05)
+        with lock:
+            running.remove(handler)
+
+    (daemon,) = make_daemons(make_backend(behave=behave).server_port)
+    threads = [threading.Thread(target=send, args=(daemon,)) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert max(most) == 1
+
+
+def test_zone_out_is_refused_and_its_return_starts_cold(
+    make_backend, make_daemons, tables, warm_up
+):
+    # Guards against work in a zone out of service and full load on its return.
+    (daemon,) = make_daemons(make_backend().server_port)
+    warm_up(daemon)
+    put_tables_in_force(daemon, tables, zones_out=("zone-a",))
+    answer = send(daemon)
+    assert (answer.status, answer.json()["code"]) == (503, "zone_out")
+    # The ingress picks elsewhere, so the owner gets no request while it is out.
+    time.sleep(0.5)
+    put_tables_in_force(daemon, msgspec.structs.replace(tables, revision=2))
+    assert send(daemon).status == 200
+    assert daemon.load.current.state == "cold"
+
+
+def test_pool_that_serves_anyway_is_served(make_backend, make_daemons, tables):
+    # Guards against an owner that refuses what the pool's operators allowed.
+    (daemon,) = make_daemons(make_backend().server_port)
+    (pool,) = tables.pools
+    anyway = msgspec.structs.replace(pool, when_zones_out=WhenZonesOut.SERVE_ANYWAY)
+    put_tables_in_force(daemon, tables, pools=(anyway,), zones_out=("zone-a",))
+    assert send(daemon).status == 200
+
+
+def test_backend_server_that_is_back_gets_work_again(make_backend, make_daemons):
+    # Guards against an endpoint that stays down because no request reaches it.
+    backend = make_backend()
+    (daemon,) = make_daemons(backend.server_port)
+    backend.shutdown()
+    backend.server_close()
+    assert send(daemon).json()["code"] == RefusalCode.NO_ENDPOINT
+    wait_until(lambda: daemon.load.current.state == "down")
+    port = backend.server_port
+    restarted = make_backend(port=port)
+    wait_until(lambda: daemon.load.current.state == "cold")
+    assert send(daemon).data == str(restarted.server_port).encode()
+
+
+def make_request(path="/poison"):
+    return CallerRequest(
+        request_id="r1",
+        method="GET",
+        target=path,
+        path=path,
+        host="a",
+        headers=[],
+        body=b"",
+        timeout_ms=None,
+        attempt=1,
+        idempotency_key=None,
+        received_at_ms=0.0,
+        is_cancelled=lambda: False,
+    )
+
+
+def test_strikes_of_two_daemons_quarantine_a_request():
+    # Guards against a crashing request that moves on to other daemons.
+    clock = ManualClock()
+    heard_by_other, heard = [], []
+    one = Quarantine(clock=clock, share=heard_by_other.append)
+    other = Quarantine(clock=clock, share=heard.append)
+    one.record_crash(make_request(), "e1")
+    other.hear(heard_by_other[0])
+    assert not other.contains(make_request())
+    other.record_crash(make_request(), "e2")
+    one.hear(heard[0])
+    one.hear(heard[0])
+    assert one.contains(make_request())
+    assert other.contains(make_request())
+    assert not one.contains(make_request("/other"))
+    clock.advance(600_000)
+    assert not one.contains(make_request())
+
+
+def test_quarantined_request_is_refused_before_it_runs(make_backend, make_daemons):
+    # Guards against a quarantine that the request path does not ask.
+    backend = make_backend()
+    (daemon,) = make_daemons(backend.server_port)
+    host = f"127.0.0.1:{daemon.callers.port}"
+    fingerprint = compute_fingerprint(
+        method="GET", host=host, target="/poison", body=b""
+    )
+    at_ms = int(time.time() * 1000)
+    for strike_id in ("s1", "s2"):
+        strike = membership.Strike(
+            fingerprint=fingerprint, strike_id=strike_id, at_ms=at_ms
+        )
+        daemon.quarantine.hear(strike)
+    answer = send(daemon, path="/poison")
+    assert (answer.status, answer.json()["code"]) == (503, "quarantined")
+    assert backend.requests == []
--- a/packages/vanillapitch-daemon/tests/test_path.py
+++ b/packages/vanillapitch-daemon/tests/test_path.py
@@ -73,12 +73,16 @@
 
 
 def test_requests_beyond_the_slots_are_refused_as_not_run(
-    make_backend, make_daemons, http_pool
+    make_backend, make_daemons, http_pool, warm_up
 ):
     # Guards against a backend server with more in flight than its slots.
     release = threading.Event()
+    release.set()
     backend = make_backend(behave=lambda handler: release.wait(5))
     (ingress,) = make_daemons(backend.server_port)
+    warm_up(ingress)
+    release.clear()
+    backend.requests.clear()
     answers = []
 
     def send():
