Tell a latency jump from a cold start in load reports

With daemons as processes, a straggler kept 3.6% of the calls and p99 was 222.9 ms against 32.8 ms: its owner had halved the limit for latency alone and reported cold, and a cold endpoint gets a trial request every 20 picks.

--- a/packages/vanillapitch-core/src/vanillapitch_core/picking/_estimate.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_estimate.py
@@ -14,6 +14,8 @@
 ]
 
 LATENCY_WEIGHT = 0.1
+# An overdue call says more than an answer, and its effect ends with the call.
+OVERDUE_WEIGHT = 0.3
 # Good answers of an endpoint that lost its work come only with trial requests, so
 # each of them counts for more.
 RECOVERY_WEIGHT = 0.5
@@ -77,7 +79,7 @@
         if age_ms <= estimate_ms:
             break
         sample_ms = min(age_ms, estimate_ms * MAX_SAMPLE_FACTOR)
-        estimate_ms += LATENCY_WEIGHT * (sample_ms - estimate_ms)
+        estimate_ms += OVERDUE_WEIGHT * (sample_ms - estimate_ms)
     return estimate_ms
 
 
--- a/packages/vanillapitch-core/src/vanillapitch_core/warmup.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/warmup.py
@@ -39,6 +39,7 @@
 # 7 of 12 exponentially distributed latencies exceed 4 times their mean in fewer than
 # one of 10**8 windows.
 LATENCY_FACTOR_ALONE = 4.0
+LATENCY_START_SHARE = 0.5
 
 
 class WarmupAnswer(enum.Enum):
@@ -63,8 +64,11 @@
     ----------
     ceiling : int
         Concurrent requests of a warm backend server.
-    cold : bool
+    ramping : bool
         Whether a ramp is in progress.
+    cold : bool
+        Whether the ramp is that of a cold start; false when it follows a latency jump
+        alone.
     slots : float
         Concurrent requests during the ramp.
     baseline_ms : float
@@ -72,6 +76,7 @@
     """
 
     ceiling: int
+    ramping: bool = False
     cold: bool = False
     slots: float = 1.0
     baseline_ms: float = 0.0
@@ -96,7 +101,8 @@
     now_ms : float
         Current time in milliseconds.
     """
-    _begin(state, slots=max(1.0, state.ceiling * START_SHARE), now_ms=now_ms)
+    slots = max(1.0, state.ceiling * START_SHARE)
+    _begin(state, slots=slots, cold=True, now_ms=now_ms)
 
 
 def cap(state: WarmupState) -> int:
@@ -112,7 +118,7 @@
     int
         From 1 to the ceiling.
     """
-    slots = int(state.slots) if state.cold else state.ceiling
+    slots = int(state.slots) if state.ramping else state.ceiling
     check_invariant(1 <= slots <= state.ceiling, "the cap is from 1 to the ceiling")
     return slots
 
@@ -138,21 +144,25 @@
     bool
         Whether this answer showed that a warm backend server turned cold.
     """
-    if state.cold:
+    if state.ramping:
         _record_in_ramp(state, kind=kind, latency_ms=latency_ms, now_ms=now_ms)
         return False
     state.recent.append(_Answer(kind=kind, latency_ms=latency_ms))
-    slots = _recognise_cold(state)
-    if slots is not None:
-        _begin(state, slots=slots, now_ms=now_ms)
+    if _shows_cold_start(state):
+        begin_ramp(state, now_ms=now_ms)
+        return True
+    if _shows_latency_jump(state):
+        slots = max(1.0, state.ceiling * LATENCY_START_SHARE)
+        _begin(state, slots=slots, cold=False, now_ms=now_ms)
         return True
     if kind is WarmupAnswer.GOOD:
         _update_baseline(state, latency_ms=latency_ms)
     return False
 
 
-def _begin(state: WarmupState, *, slots: float, now_ms: float) -> None:
-    state.cold = True
+def _begin(state: WarmupState, *, slots: float, cold: bool, now_ms: float) -> None:
+    state.ramping = True
+    state.cold = cold
     state.slots = min(float(state.ceiling), slots)
     state.hold_until_ms = 0.0
     state.ramp_started_at_ms = now_ms
@@ -195,6 +205,7 @@
 
 
 def _end_ramp(state: WarmupState, *, latency_ms: float) -> None:
+    state.ramping = False
     state.cold = False
     state.slots = float(state.ceiling)
     # What the backend server does at the end of the ramp is the new normal; else a
@@ -203,26 +214,32 @@
     state.baseline_samples = BASELINE_SAMPLES
 
 
-def _recognise_cold(state: WarmupState) -> float | None:
-    """Return the slots to start the ramp from, or None for a warm backend server."""
-    low = max(1.0, state.ceiling * START_SHARE)
+def _shows_cold_start(state: WarmupState) -> bool:
     sheds = sum(answer.kind is WarmupAnswer.SHED for answer in state.recent)
     if sheds >= SHEDS_ALONE:
-        return low
+        return True
+    signs = sum(answer.kind is not WarmupAnswer.GOOD for answer in state.recent)
+    return (
+        signs >= SIGNS_WITH_LATENCY_JUMP
+        and _latency_jump(state) > LATENCY_FACTOR_WITH_SIGNS
+    )
+
+
+def _shows_latency_jump(state: WarmupState) -> bool:
+    is_full = len(state.recent) == RECENT_ANSWERS
+    return is_full and _latency_jump(state) > LATENCY_FACTOR_ALONE
+
+
+def _latency_jump(state: WarmupState) -> float:
+    """Return the recent median latency as a factor of the baseline; 0 if unknown."""
     if state.baseline_samples < BASELINE_SAMPLES:
-        return None
+        return 0.0
     latencies_ms = [
         answer.latency_ms for answer in state.recent if answer.kind is WarmupAnswer.GOOD
     ]
     if len(latencies_ms) < RECENT_ANSWERS // 2:
-        return None
-    jump = statistics.median(latencies_ms) / max(state.baseline_ms, 1e-9)
-    signs = len(state.recent) - len(latencies_ms)
-    if signs >= SIGNS_WITH_LATENCY_JUMP and jump > LATENCY_FACTOR_WITH_SIGNS:
-        return low
-    if len(state.recent) == RECENT_ANSWERS and jump > LATENCY_FACTOR_ALONE:
-        return max(1.0, state.ceiling / 2)
-    return None
+        return 0.0
+    return statistics.median(latencies_ms) / max(state.baseline_ms, 1e-9)
 
 
 def _update_baseline(state: WarmupState, *, latency_ms: float) -> None:
--- a/packages/vanillapitch-core/tests/test_decisions.py
+++ b/packages/vanillapitch-core/tests/test_decisions.py
@@ -265,7 +265,7 @@
     state = warmup.WarmupState(ceiling=12)
     warmup.begin_ramp(state, now_ms=0.0)
     caps, now_ms, sheds = [], 0.0, 0
-    while state.cold and now_ms < 10_000.0:
+    while state.ramping and now_ms < 10_000.0:
         now_ms += 20.0
         kind = warmup.WarmupAnswer.GOOD
         if sheds == 0 and warmup.cap(state) == 8:
