--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/configuration/__init__.py
@@ -0,0 +1,69 @@
+"""Configuration: the protocol of a table change and the adoption of revisions."""
+
+from vanillapitch_core.configuration._adoption import (
+    Adopt,
+    AdoptionEffect,
+    AdoptionState,
+    Diverged,
+    FetchTables,
+    consider,
+    hear_revision,
+    note_fetch_failed,
+)
+from vanillapitch_core.configuration._change import (
+    ChangeEffect,
+    ChangeEvent,
+    ChangeFinished,
+    ChangeOutcome,
+    ChangeState,
+    FailureKind,
+    ReadTables,
+    RejectionReason,
+    StoreFailed,
+    TablesRead,
+    TablesWritten,
+    WriteTables,
+    advance_change,
+    begin_change,
+)
+from vanillapitch_core.configuration._proposal import (
+    Change,
+    TablesChange,
+    ZoneChange,
+    propose,
+)
+from vanillapitch_core.configuration._watchers import (
+    WATCHERS_PER_ZONE,
+    choose_by_rendezvous,
+)
+
+__all__ = [
+    "WATCHERS_PER_ZONE",
+    "Adopt",
+    "AdoptionEffect",
+    "AdoptionState",
+    "Change",
+    "ChangeEffect",
+    "ChangeEvent",
+    "ChangeFinished",
+    "ChangeOutcome",
+    "ChangeState",
+    "Diverged",
+    "FailureKind",
+    "FetchTables",
+    "ReadTables",
+    "RejectionReason",
+    "StoreFailed",
+    "TablesChange",
+    "TablesRead",
+    "TablesWritten",
+    "WriteTables",
+    "ZoneChange",
+    "advance_change",
+    "begin_change",
+    "choose_by_rendezvous",
+    "consider",
+    "hear_revision",
+    "note_fetch_failed",
+    "propose",
+]
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/configuration/_change.py
@@ -0,0 +1,464 @@
+"""Protocol of one change: compare-and-swap, and reading back after a lost answer."""
+
+import dataclasses
+import enum
+
+from vanillapitch_core.configuration._proposal import Change, TablesChange, propose
+from vanillapitch_core.exceptions import TableError
+from vanillapitch_core.tables import Tables
+
+__all__ = [
+    "ChangeEffect",
+    "ChangeEvent",
+    "ChangeFinished",
+    "ChangeOutcome",
+    "ChangeState",
+    "FailureKind",
+    "ReadTables",
+    "RejectionReason",
+    "StoreFailed",
+    "TablesRead",
+    "TablesWritten",
+    "WriteTables",
+    "advance_change",
+    "begin_change",
+]
+
+
+class ChangeOutcome(enum.StrEnum):
+    """What the operator is told."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+class RejectionReason(enum.StrEnum):
+    """Why a change is rejected; it has had and will have no effect."""
+
+    INVALID = "invalid"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_REJECTED = "store_rejected"
+    STORE_BEHIND = "store_behind"
+
+
+class FailureKind(enum.StrEnum):
+    """How a call of the store failed."""
+
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+    REJECTED = "rejected"
+
+
+class _Phase(enum.Enum):
+    READING = enum.auto()
+    WRITING = enum.auto()
+    READING_BACK = enum.auto()
+    FINISHED = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeEvent:
+    """Base of answers to the effect of an attempt.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the effect that this answers; answers to others are ignored.
+    now_ms : float
+        Monotonic time.
+    """
+
+    attempt: int
+    now_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TablesRead(ChangeEvent):
+    """The store answered a reading.
+
+    Attributes
+    ----------
+    tables : Tables
+        The document; empty tables of revision 0 when there is none.
+    mod_revision : int
+        Store revision of its last change; 0 when there is none.
+    history_change_id : str or None
+        Change id in the history at the revision asked for.
+    """
+
+    tables: Tables
+    mod_revision: int
+    history_change_id: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TablesWritten(ChangeEvent):
+    """The store answered a swap.
+
+    Attributes
+    ----------
+    succeeded : bool
+        False when the document was not at the expected store revision.
+    """
+
+    succeeded: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreFailed(ChangeEvent):
+    """The store did not answer as asked.
+
+    Attributes
+    ----------
+    kind : FailureKind
+        Whether the call may have had an effect.
+    """
+
+    kind: FailureKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReadTables:
+    """Read the document and a history entry at one point in time.
+
+    Attributes
+    ----------
+    attempt : int
+        Number to repeat in the answer.
+    history_revision : int or None
+        Revision whose history entry to read, if any.
+    delay_ms : float
+        Time to wait before.
+    """
+
+    attempt: int
+    history_revision: int | None
+    delay_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WriteTables:
+    """Swap the document, and write its history entry in the same transaction.
+
+    Attributes
+    ----------
+    attempt : int
+        Number to repeat in the answer.
+    tables : Tables
+        The new document.
+    expected_mod_revision : int
+        Store revision that the document must still have.
+    """
+
+    attempt: int
+    tables: Tables
+    expected_mod_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeFinished:
+    """The operator can be told.
+
+    Attributes
+    ----------
+    outcome : ChangeOutcome
+        What happened to the change.
+    tables : Tables or None
+        The accepted document, or on a conflict the one in the store; None when later
+        revisions hide an accepted document that an earlier request sent.
+    revision : int or None
+        Revision of the accepted document.
+    reason : RejectionReason or None
+        Why it was rejected.
+    detail : str
+        A sentence for the operator.
+    """
+
+    outcome: ChangeOutcome
+    tables: Tables | None = None
+    revision: int | None = None
+    reason: RejectionReason | None = None
+    detail: str = ""
+
+
+ChangeEffect = ReadTables | WriteTables | ChangeFinished
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeState:
+    """Progress of one change; never changed in place.
+
+    Attributes
+    ----------
+    may_be_written : bool
+        Whether a swap was sent whose effect is not known to be impossible.
+    """
+
+    change: Change
+    change_id: str
+    author: str
+    wall_ms: int
+    deadline_ms: float
+    floor_revision: int
+    phase: _Phase = _Phase.READING
+    attempt: int = 1
+    proposal: Tables | None = None
+    expected_mod_revision: int = 0
+    may_be_written: bool = False
+
+
+# Waits between a failed call and the next reading.
+_RETRY_MS = 200.0
+
+
+def begin_change(
+    *,
+    change: Change,
+    change_id: str,
+    author: str,
+    wall_ms: int,
+    deadline_ms: float,
+    floor_revision: int,
+    is_resent: bool = False,
+) -> tuple[ChangeState, ChangeEffect]:
+    """Start a change.
+
+    Parameters
+    ----------
+    change : Change
+        What the operator asks for.
+    change_id : str
+        Unique id; the same id sent again does not change the tables twice.
+    author : str
+        Operator.
+    wall_ms : int
+        Milliseconds since the Unix epoch.
+    deadline_ms : float
+        Monotonic time at which the operator is told what is known.
+    floor_revision : int
+        Revision in force at this daemon; the store must not be behind it.
+    is_resent : bool
+        Whether a change with this id was sent before. Its swap may still be under
+        way, so a failed call then does not prove that nothing was written.
+
+    Returns
+    -------
+    tuple of ChangeState and ChangeEffect
+        The state and the first reading.
+    """
+    state = ChangeState(
+        change=change,
+        change_id=change_id,
+        author=author,
+        wall_ms=wall_ms,
+        deadline_ms=deadline_ms,
+        floor_revision=floor_revision,
+        may_be_written=is_resent,
+    )
+    return state, ReadTables(attempt=1, history_revision=_history_revision(state))
+
+
+def advance_change(
+    state: ChangeState, event: ChangeEvent
+) -> tuple[ChangeState, ChangeEffect | None]:
+    """Take an answer of the store.
+
+    Parameters
+    ----------
+    state : ChangeState
+        Progress of the change.
+    event : ChangeEvent
+        The answer.
+
+    Returns
+    -------
+    tuple of ChangeState and ChangeEffect or None
+        The next state and what to do; None for an answer to an earlier attempt.
+    """
+    if state.phase == _Phase.FINISHED or event.attempt != state.attempt:
+        return state, None
+    if state.phase == _Phase.READING:
+        return _after_reading(state, event)
+    if state.phase == _Phase.WRITING:
+        return _after_writing(state, event)
+    return _after_reading_back(state, event)
+
+
+def _after_reading(
+    state: ChangeState, event: ChangeEvent
+) -> tuple[ChangeState, ChangeEffect]:
+    if isinstance(event, StoreFailed):
+        return _reject_failure(state, event.kind)
+    assert isinstance(event, TablesRead)
+    if _has_own_id(state, event):
+        return _finish(state, _accepted(state, event))
+    if event.tables.revision < state.floor_revision:
+        detail = (
+            f"the store holds revision {event.tables.revision}, "
+            f"behind revision {state.floor_revision} in force"
+        )
+        return _reject(state, RejectionReason.STORE_BEHIND, detail)
+    change = state.change
+    is_table_change = isinstance(change, TablesChange)
+    if is_table_change and change.base_revision != event.tables.revision:
+        return _finish(state, _conflict(event.tables))
+    return _write_proposal(state, event)
+
+
+def _write_proposal(
+    state: ChangeState, event: TablesRead
+) -> tuple[ChangeState, ChangeEffect]:
+    try:
+        proposal = propose(
+            base=event.tables,
+            change=state.change,
+            change_id=state.change_id,
+            author=state.author,
+            wall_ms=state.wall_ms,
+        )
+    except TableError as error:
+        return _reject(state, RejectionReason.INVALID, str(error))
+    if proposal is None:
+        finished = ChangeFinished(
+            outcome=ChangeOutcome.ACCEPTED,
+            tables=event.tables,
+            revision=event.tables.revision,
+            detail="the zone already was in this state",
+        )
+        return _finish(state, finished)
+    state = dataclasses.replace(
+        state, proposal=proposal, expected_mod_revision=event.mod_revision
+    )
+    return _write(state, event.now_ms)
+
+
+def _after_writing(
+    state: ChangeState, event: ChangeEvent
+) -> tuple[ChangeState, ChangeEffect]:
+    if isinstance(event, TablesWritten):
+        if event.succeeded:
+            return _finish(state, _accepted_as(state.proposal))
+        return _read_back(state, event.now_ms, delay_ms=0.0)
+    assert isinstance(event, StoreFailed)
+    if event.kind == FailureKind.UNKNOWN:
+        state = dataclasses.replace(state, may_be_written=True)
+    if state.may_be_written:
+        return _read_back(state, event.now_ms, delay_ms=_RETRY_MS)
+    return _reject_failure(state, event.kind)
+
+
+def _after_reading_back(
+    state: ChangeState, event: ChangeEvent
+) -> tuple[ChangeState, ChangeEffect]:
+    if isinstance(event, StoreFailed):
+        return _read_back(state, event.now_ms, delay_ms=_RETRY_MS)
+    assert isinstance(event, TablesRead)
+    if _has_own_id(state, event):
+        return _finish(state, _accepted(state, event))
+    if event.mod_revision == state.expected_mod_revision:
+        return _write(state, event.now_ms)
+    # The document has changed without this change, so every swap of it that is still
+    # under way compares with a store revision that will not come back.
+    state = dataclasses.replace(state, may_be_written=False)
+    if isinstance(state.change, TablesChange):
+        return _finish(state, _conflict(event.tables))
+    if event.now_ms >= state.deadline_ms:
+        return _finish(state, _conflict(event.tables))
+    return _write_proposal(state, event)
+
+
+def _write(state: ChangeState, now_ms: float) -> tuple[ChangeState, ChangeEffect]:
+    if now_ms >= state.deadline_ms:
+        return _finish_late(state)
+    state = _next_attempt(state, _Phase.WRITING)
+    return state, WriteTables(
+        attempt=state.attempt,
+        tables=state.proposal,
+        expected_mod_revision=state.expected_mod_revision,
+    )
+
+
+def _read_back(
+    state: ChangeState, now_ms: float, *, delay_ms: float
+) -> tuple[ChangeState, ChangeEffect]:
+    if now_ms + delay_ms >= state.deadline_ms:
+        return _finish_late(state)
+    state = _next_attempt(state, _Phase.READING_BACK)
+    return state, ReadTables(
+        attempt=state.attempt,
+        history_revision=_history_revision(state),
+        delay_ms=delay_ms,
+    )
+
+
+def _finish_late(state: ChangeState) -> tuple[ChangeState, ChangeEffect]:
+    return _reject_failure(state, FailureKind.UNAVAILABLE)
+
+
+def _next_attempt(state: ChangeState, phase: _Phase) -> ChangeState:
+    return dataclasses.replace(state, phase=phase, attempt=state.attempt + 1)
+
+
+def _history_revision(state: ChangeState) -> int | None:
+    if state.proposal is not None:
+        return state.proposal.revision
+    if isinstance(state.change, TablesChange):
+        return state.change.base_revision + 1
+    return None
+
+
+def _has_own_id(state: ChangeState, event: TablesRead) -> bool:
+    return state.change_id in (event.tables.change_id, event.history_change_id)
+
+
+def _accepted(state: ChangeState, event: TablesRead) -> ChangeFinished:
+    if event.tables.change_id == state.change_id:
+        return _accepted_as(event.tables)
+    return ChangeFinished(
+        outcome=ChangeOutcome.ACCEPTED,
+        tables=state.proposal,
+        revision=_history_revision(state),
+        detail=f"revision {event.tables.revision} followed it",
+    )
+
+
+def _accepted_as(tables: Tables) -> ChangeFinished:
+    return ChangeFinished(
+        outcome=ChangeOutcome.ACCEPTED, tables=tables, revision=tables.revision
+    )
+
+
+def _conflict(current: Tables) -> ChangeFinished:
+    detail = f"revision {current.revision} by {current.author or 'nobody'} came first"
+    return ChangeFinished(outcome=ChangeOutcome.CONFLICT, tables=current, detail=detail)
+
+
+def _reject_failure(
+    state: ChangeState, kind: FailureKind
+) -> tuple[ChangeState, ChangeEffect]:
+    if kind == FailureKind.REJECTED:
+        detail = "the store refused the call"
+        return _reject(state, RejectionReason.STORE_REJECTED, detail)
+    detail = "the store did not answer; nothing was written"
+    return _reject(state, RejectionReason.STORE_UNAVAILABLE, detail)
+
+
+def _reject(
+    state: ChangeState, reason: RejectionReason, detail: str
+) -> tuple[ChangeState, ChangeEffect]:
+    if state.may_be_written:
+        detail = "the store did not confirm the change in time; it may take effect"
+        finished = ChangeFinished(outcome=ChangeOutcome.UNKNOWN, detail=detail)
+        return _finish(state, finished)
+    finished = ChangeFinished(
+        outcome=ChangeOutcome.REJECTED, reason=reason, detail=detail
+    )
+    return _finish(state, finished)
+
+
+def _finish(
+    state: ChangeState, finished: ChangeFinished
+) -> tuple[ChangeState, ChangeEffect]:
+    return dataclasses.replace(state, phase=_Phase.FINISHED), finished
