Add membership and configuration actors of the daemon

A daemon has to find its peers and take over tables. The UDP socket has a thread of its own; the membership actor owns the state; exchanges, fetches and changes run in actors of their own, because they block. Not yet wired into main.

--- a/packages/vanillapitch-core/src/vanillapitch_core/configuration/_change.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/configuration/_change.py
@@ -84,13 +84,13 @@
         The document; empty tables of revision 0 when there is none.
     mod_revision : int
         Store revision of its last change; 0 when there is none.
-    history_change_id : str or None
-        Change id in the history at the revision asked for.
+    history : Tables or None
+        Document in the history at the revision asked for.
     """
 
     tables: Tables
     mod_revision: int
-    history_change_id: str | None = None
+    history: Tables | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -166,10 +166,7 @@
     outcome : ChangeOutcome
         What happened to the change.
     tables : Tables or None
-        The accepted document, or on a conflict the one in the store; None when later
-        revisions hide an accepted document that an earlier request sent.
-    revision : int or None
-        Revision of the accepted document.
+        The accepted document, or on a conflict the one in the store.
     reason : RejectionReason or None
         Why it was rejected.
     detail : str
@@ -178,7 +175,6 @@
 
     outcome: ChangeOutcome
     tables: Tables | None = None
-    revision: int | None = None
     reason: RejectionReason | None = None
     detail: str = ""
 
@@ -292,8 +288,9 @@
     if isinstance(event, StoreFailed):
         return _reject_failure(state, event.kind)
     assert isinstance(event, TablesRead)
-    if _has_own_id(state, event):
-        return _finish(state, _accepted(state, event))
+    own = _find_own(state, event)
+    if own is not None:
+        return _finish(state, _accepted(own))
     if event.tables.revision < state.floor_revision:
         detail = (
             f"the store holds revision {event.tables.revision}, "
@@ -324,7 +321,6 @@
         finished = ChangeFinished(
             outcome=ChangeOutcome.ACCEPTED,
             tables=event.tables,
-            revision=event.tables.revision,
             detail="the zone already was in this state",
         )
         return _finish(state, finished)
@@ -339,7 +335,7 @@
 ) -> tuple[ChangeState, ChangeEffect]:
     if isinstance(event, TablesWritten):
         if event.succeeded:
-            return _finish(state, _accepted_as(state.proposal))
+            return _finish(state, _accepted(state.proposal))
         return _read_back(state, event.now_ms, delay_ms=0.0)
     assert isinstance(event, StoreFailed)
     if event.kind == FailureKind.UNKNOWN:
@@ -355,8 +351,9 @@
     if isinstance(event, StoreFailed):
         return _read_back(state, event.now_ms, delay_ms=_RETRY_MS)
     assert isinstance(event, TablesRead)
-    if _has_own_id(state, event):
-        return _finish(state, _accepted(state, event))
+    own = _find_own(state, event)
+    if own is not None:
+        return _finish(state, _accepted(own))
     if event.mod_revision == state.expected_mod_revision:
         return _write(state, event.now_ms)
     # The document has changed without this change, so every swap of it that is still
@@ -409,25 +406,15 @@
     return None
 
 
-def _has_own_id(state: ChangeState, event: TablesRead) -> bool:
-    return state.change_id in (event.tables.change_id, event.history_change_id)
-
-
-def _accepted(state: ChangeState, event: TablesRead) -> ChangeFinished:
-    if event.tables.change_id == state.change_id:
-        return _accepted_as(event.tables)
-    return ChangeFinished(
-        outcome=ChangeOutcome.ACCEPTED,
-        tables=state.proposal,
-        revision=_history_revision(state),
-        detail=f"revision {event.tables.revision} followed it",
-    )
+def _find_own(state: ChangeState, event: TablesRead) -> Tables | None:
+    for tables in (event.tables, event.history):
+        if tables is not None and tables.change_id == state.change_id:
+            return tables
+    return None
 
 
-def _accepted_as(tables: Tables) -> ChangeFinished:
-    return ChangeFinished(
-        outcome=ChangeOutcome.ACCEPTED, tables=tables, revision=tables.revision
-    )
+def _accepted(tables: Tables) -> ChangeFinished:
+    return ChangeFinished(outcome=ChangeOutcome.ACCEPTED, tables=tables)
 
 
 def _conflict(current: Tables) -> ChangeFinished:
--- a/packages/vanillapitch-core/src/vanillapitch_core/configuration/_proposal.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/configuration/_proposal.py
@@ -12,21 +12,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TablesChange:
-    """Replace the routes and the pools of one revision.
+    """Replace the routes, the pools or both of one revision.
 
     Attributes
     ----------
     base_revision : int
         Revision that the operator read.
-    routes : tuple of Route
-        The whole routes table.
-    pools : tuple of Pool
-        The whole pools table.
+    routes : tuple of Route or None
+        The whole routes table; None to keep it.
+    pools : tuple of Pool or None
+        The whole pools table; None to keep it.
     """
 
     base_revision: int
-    routes: tuple[Route, ...]
-    pools: tuple[Pool, ...]
+    routes: tuple[Route, ...] | None = None
+    pools: tuple[Pool, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,7 +82,11 @@
             return None
         fields = {"zones_out": zones_out}
     else:
-        fields = {"routes": change.routes, "pools": change.pools}
+        fields = {}
+        if change.routes is not None:
+            fields["routes"] = change.routes
+        if change.pools is not None:
+            fields["pools"] = change.pools
     tables = msgspec.structs.replace(
         base,
         revision=base.revision + 1,
--- a/packages/vanillapitch-core/tests/test_configuration_model.py
+++ b/packages/vanillapitch-core/tests/test_configuration_model.py
@@ -31,7 +31,7 @@
 
     tables: Tables
     mod_revision: int
-    history: tuple[str, ...]
+    history: tuple[Tables, ...]
     operators: tuple[Operator, ...]
     faults_left: int
     late_writes: tuple[core.WriteTables, ...] = ()
@@ -65,7 +65,7 @@
         world,
         tables=write.tables,
         mod_revision=world.mod_revision + 1,
-        history=(*world.history, write.tables.change_id),
+        history=(*world.history, write.tables),
         old_copies=tuple(dict.fromkeys((*world.old_copies, write.tables))),
     )
     return changed, True
@@ -79,7 +79,7 @@
         now_ms=now_ms,
         tables=world.tables,
         mod_revision=world.mod_revision,
-        history_change_id=world.history[index] if is_known else None,
+        history=world.history[index] if is_known else None,
     )
 
 
@@ -166,16 +166,22 @@
     ]
 
 
+def stored_ids(world: World) -> tuple[str, ...]:
+    return tuple(tables.change_id for tables in world.history)
+
+
 def check(world: World) -> None:
-    assert len(set(world.history)) == len(world.history)
+    stored = stored_ids(world)
+    assert len(set(stored)) == len(stored)
     assert world.tables.revision == 4 + len(world.history)
-    assert world.adopted.change_id in ("base", *world.history)
+    assert world.adopted.change_id in ("base", *stored)
     for operator, result in zip(world.operators, finished(world), strict=True):
         if result is None:
             continue
-        is_stored = operator.state.change_id in world.history
+        is_stored = operator.state.change_id in stored
         if result.outcome == ChangeOutcome.ACCEPTED:
             assert is_stored or "already" in result.detail
+            assert result.tables in (BASE, *world.history)
         elif result.outcome != ChangeOutcome.UNKNOWN:
             assert not is_stored
 
@@ -233,9 +239,9 @@
         _, zone_result = finished(world)
         if zone_result.outcome == ChangeOutcome.ACCEPTED:
             assert "zone-a" in world.tables.zones_out
-        if "a" in world.history:
+        if "a" in stored_ids(world):
             assert world.tables.pools
-        if not faults and "a" in world.history and "z" in world.history:
+        if not faults and "a" in stored_ids(world) and "z" in stored_ids(world):
             assert world.tables.pools and world.tables.zones_out
 
 
@@ -244,7 +250,7 @@
     # so makes it twice, or is told of a conflict with itself.
     twice = (begin(table_change("a"), "a", is_resent=True),) * 2
     for world in explore(start(*twice, faults=2)):
-        assert world.history in ((), ("a",))
+        assert stored_ids(world) in ((), ("a",))
         assert ChangeOutcome.CONFLICT not in _outcomes(world)
 
 
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_actor.py
@@ -0,0 +1,174 @@
+"""Actor that owns the tables in force."""
+
+import dataclasses
+from collections.abc import Callable
+
+import pykka
+from vanillapitch_core import configuration as core
+from vanillapitch_core.tables import Tables
+
+from vanillapitch_daemon.configuration._changes import ApplyChange
+from vanillapitch_daemon.logs import get_log
+from vanillapitch_daemon.snapshot import TablesSnapshot
+
+__all__ = [
+    "Configuration",
+    "GetTables",
+    "HearRevision",
+    "NoteFetchFailed",
+    "SubscribeTables",
+    "TablesAdopted",
+    "TablesArrived",
+]
+
+_log = get_log("configuration")
+_frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+@_frozen
+class GetTables:
+    """Ask for the tables in force."""
+
+
+@_frozen
+class HearRevision:
+    """A peer has a revision."""
+
+    revision: int
+    peer_address: str
+
+
+@_frozen
+class TablesArrived:
+    """Confirmed tables came from the store, a peer or an accepted change."""
+
+    tables: Tables
+    source: str
+
+
+@_frozen
+class NoteFetchFailed:
+    """A peer did not give the tables."""
+
+    revision: int
+
+
+@_frozen
+class TablesAdopted:
+    """Tables of a higher revision are in force."""
+
+    tables: Tables
+
+
+@_frozen
+class SubscribeTables:
+    """Call back for each adoption, from the actor's thread.
+
+    The callback first gets the tables in force, when there are any.
+
+    Attributes
+    ----------
+    callback : callable
+        Called with a `TablesAdopted`; must not block.
+    """
+
+    callback: Callable[[TablesAdopted], None]
+
+
+class Configuration(pykka.ThreadingActor):
+    """Adopts higher revisions and publishes them.
+
+    Parameters
+    ----------
+    snapshot : TablesSnapshot
+        Replaced as a whole with each adoption, before subscribers are called.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, snapshot: TablesSnapshot):
+        super().__init__()
+        self._snapshot = snapshot
+        self._state = core.AdoptionState(tables=snapshot.current.tables)
+        self._callbacks: list[Callable[[TablesAdopted], None]] = []
+        self._fetch: Callable[[core.FetchTables], None] = lambda effect: None
+        self._changes: pykka.ActorRef | None = None
+
+    def on_receive(self, message: object) -> object:
+        """Handle one message."""
+        match message:
+            case GetTables():
+                return self._state.tables
+            case ApplyChange():
+                # A future: the change takes several calls of the store.
+                return self._changes.ask(message, block=False)
+            case SubscribeTables():
+                self._subscribe(message.callback)
+            case Connect():
+                self._fetch = message.fetch
+                self._changes = message.changes
+            case TablesArrived():
+                self._log_arrival(message)
+                self._carry_out(core.consider(self._state, message.tables))
+            case HearRevision():
+                self._carry_out(
+                    core.hear_revision(
+                        self._state, message.revision, message.peer_address
+                    )
+                )
+            case NoteFetchFailed():
+                core.note_fetch_failed(self._state, message.revision)
+        return None
+
+    def _subscribe(self, callback: Callable[[TablesAdopted], None]) -> None:
+        self._callbacks.append(callback)
+        if self._state.tables.revision > 0:
+            callback(TablesAdopted(tables=self._state.tables))
+
+    def _carry_out(self, effects: list[core.AdoptionEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, core.FetchTables):
+                self._fetch(effect)
+            elif isinstance(effect, core.Diverged):
+                _log.error(
+                    "Two documents carry one revision; kept the one in force",
+                    revision=effect.tables.revision,
+                    other_change_id=effect.tables.change_id,
+                )
+            else:
+                self._publish(effect.tables)
+
+    def _publish(self, tables: Tables) -> None:
+        self._snapshot.replace(tables)
+        _log.info(
+            "Adopted tables",
+            revision=tables.revision,
+            change_id=tables.change_id,
+            zones_out=",".join(tables.zones_out),
+        )
+        for callback in self._callbacks:
+            try:
+                callback(TablesAdopted(tables=tables))
+            except Exception:
+                _log.exception("A subscriber failed", revision=tables.revision)
+
+    def _log_arrival(self, message: TablesArrived) -> None:
+        _log.debug(
+            "Tables arrived", revision=message.tables.revision, source=message.source
+        )
+
+
+@_frozen
+class Connect:
+    """Connect the parts that are made after the actor.
+
+    Attributes
+    ----------
+    fetch : callable
+        Starts to carry out a `FetchTables`; must not block.
+    changes : pykka.ActorRef
+        The actor that carries out changes.
+    """
+
+    fetch: Callable[[core.FetchTables], None]
+    changes: pykka.ActorRef
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
@@ -0,0 +1,336 @@
+"""Wiring of membership and configuration: what a daemon shares with its peers."""
+
+import dataclasses
+import random
+
+import pykka
+from vanillapitch_core import Clock
+from vanillapitch_core.configuration import FetchTables
+from vanillapitch_core.membership import (
+    MemberChanged,
+    MemberRecord,
+    MemberState,
+    RevisionHeard,
+    StartSync,
+)
+from vanillapitch_platform import KeyValueStore
+from vanillapitch_wire.gossip import decode_members
+from vanillapitch_wire.peers import DigestsReply, TablesReply
+
+from vanillapitch_daemon.configuration import (
+    AdminConfiguration,
+    Changes,
+    Configuration,
+    Connect,
+    Fetcher,
+    HearRevision,
+    StoreWatcher,
+    SubscribeTables,
+    TablesArrived,
+    TablesStore,
+    make_tables_reply,
+    make_watcher_choice,
+)
+from vanillapitch_daemon.membership import (
+    AnnounceState,
+    AnswerDigests,
+    GetMembers,
+    GossipMeter,
+    GossipSocket,
+    HearMessage,
+    HearPeers,
+    HearRecords,
+    Introducers,
+    Membership,
+    NoteRevision,
+    NoteSyncBytes,
+    NullMeter,
+    StartExchange,
+    Subscribe,
+    Synchronizer,
+    TickDue,
+    make_digests_reply,
+)
+from vanillapitch_daemon.settings import Settings
+from vanillapitch_daemon.snapshot import TablesSnapshot
+from vanillapitch_daemon.transport import Transport
+
+__all__ = ["Fleet", "PeersHandler", "build_fleet"]
+
+
+class PeersHandler:
+    """Serves the Thrift service of peers.
+
+    Parameters
+    ----------
+    membership : pykka.ActorRef
+        The membership actor.
+    snapshot : TablesSnapshot
+        Tables in force.
+    """
+
+    def __init__(self, *, membership: pykka.ActorRef, snapshot: TablesSnapshot):
+        self._membership = membership
+        self._snapshot = snapshot
+
+    def sync_digests(self, digests: bytes) -> DigestsReply:
+        """Answer a peer's digests with the records that differ."""
+        answer = self._membership.ask(AnswerDigests(digests=digests))
+        return make_digests_reply(
+            answer=answer,
+            revision=self._snapshot.current.tables.revision,
+            count_bytes=lambda size_bytes: self._membership.tell(
+                NoteSyncBytes(size_bytes=size_bytes)
+            ),
+        )
+
+    def sync_differences(self, members: bytes) -> None:
+        """Take records that a peer has and this daemon lacks."""
+        records, strikes = decode_members(members)
+        self._membership.tell(HearRecords(records=records, strikes=strikes))
+
+    def fetch_tables(self, min_revision: int) -> TablesReply:
+        """Give the tables in force to a peer."""
+        return make_tables_reply(self._snapshot, min_revision)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fleet:
+    """Membership and configuration of a daemon.
+
+    Attributes
+    ----------
+    membership, configuration : pykka.ActorRef
+        The actors that other parts talk to.
+    handler : PeersHandler
+        Handler of the Thrift service of peers.
+    admin_configuration : AdminConfiguration
+        Configuration for the administration API.
+    gossip : GossipSocket
+        UDP socket.
+    watcher : StoreWatcher
+        Reads and watches the store.
+    introducers : Introducers
+        Registers this daemon for others that start.
+    helpers : tuple of pykka.ActorRef
+        Actors that make blocking calls.
+    seeds : tuple of str
+        Gossip addresses from the settings.
+    """
+
+    membership: pykka.ActorRef
+    configuration: pykka.ActorRef
+    handler: PeersHandler
+    admin_configuration: AdminConfiguration
+    gossip: GossipSocket
+    watcher: StoreWatcher
+    introducers: Introducers
+    helpers: tuple[pykka.ActorRef, ...]
+    seeds: tuple[str, ...]
+
+    def start(self) -> None:
+        """Begin to receive messages and to read the store."""
+        self.gossip.start(
+            on_message=lambda message, source: self.membership.tell(
+                HearMessage(message=message, source=source)
+            ),
+            on_tick=lambda: self.membership.tell(TickDue()),
+        )
+        self.membership.tell(HearPeers(gossip_addresses=self.seeds))
+        self.watcher.start()
+        self.introducers.start()
+
+    def announce(self, state: MemberState) -> None:
+        """Announce a state of this daemon; waits until it is on its way.
+
+        Parameters
+        ----------
+        state : MemberState
+            The state.
+        """
+        self.membership.ask(AnnounceState(state=state))
+
+    def stop(self) -> None:
+        """Announce that this daemon has left, and end every part."""
+        self.announce(MemberState.LEFT)
+        self.introducers.close()
+        self.watcher.close()
+        self.gossip.close()
+        for actor in (*self.helpers, self.membership, self.configuration):
+            # Helpers may be in a blocking call; their threads end with the process.
+            actor.stop(block=False)
+
+
+def build_fleet(
+    settings: Settings,
+    *,
+    instance: str,
+    store: KeyValueStore,
+    transport: Transport,
+    snapshot: TablesSnapshot,
+    clock: Clock,
+    meter: GossipMeter | None = None,
+) -> Fleet:
+    """Create membership and configuration; nothing is started but the actors.
+
+    Parameters
+    ----------
+    settings : Settings
+        The validated settings.
+    instance : str
+        Instance name of this daemon.
+    store : KeyValueStore
+        The platform's store.
+    transport : Transport
+        Connections to peers.
+    snapshot : TablesSnapshot
+        Tables in force.
+    clock : Clock
+        Source of time.
+    meter : GossipMeter, optional
+        Counts bytes and rejected messages.
+
+    Returns
+    -------
+    Fleet
+        The parts.
+
+    Raises
+    ------
+    OSError
+        If the gossip address cannot be used.
+    """
+    random_source = random.Random()
+    gossip = GossipSocket(
+        address=(settings.listen.gossip.host, settings.listen.gossip.port),
+        cluster_key=settings.secrets.cluster_key.encode(),
+        clock=clock,
+        meter=meter or NullMeter(),
+    )
+    membership = Membership.start(
+        own=_own_record(settings, instance),
+        send=gossip.send,
+        clock=clock,
+        random_source=random.Random(random_source.random()),
+    )
+    synchronizer = Synchronizer.start(
+        membership=membership, transport=transport, clock=clock
+    )
+    tables_store = TablesStore(store=store)
+    configuration, helpers = _start_configuration(
+        tables_store=tables_store, transport=transport, snapshot=snapshot, clock=clock
+    )
+    watcher = StoreWatcher(
+        store=store,
+        deliver=lambda tables: configuration.tell(
+            TablesArrived(tables=tables, source="store")
+        ),
+        random_source=random.Random(random_source.random()),
+    )
+    introducers = Introducers(
+        store=store,
+        members=lambda: membership.ask(GetMembers()),
+        deliver=lambda addresses: membership.tell(
+            HearPeers(gossip_addresses=addresses)
+        ),
+        clock=clock,
+        random_source=random.Random(random_source.random()),
+    )
+    _subscribe(
+        settings=settings,
+        membership=membership,
+        configuration=configuration,
+        synchronizer=synchronizer,
+        watcher=watcher,
+    )
+    return Fleet(
+        membership=membership,
+        configuration=configuration,
+        handler=PeersHandler(membership=membership, snapshot=snapshot),
+        admin_configuration=AdminConfiguration(
+            configuration=configuration, store=tables_store, snapshot=snapshot
+        ),
+        gossip=gossip,
+        watcher=watcher,
+        introducers=introducers,
+        helpers=(synchronizer, *helpers),
+        seeds=tuple(str(seed) for seed in settings.seeds),
+    )
+
+
+def _own_record(settings: Settings, instance: str) -> MemberRecord:
+    return MemberRecord(
+        instance=instance,
+        zone=settings.instance.zone,
+        region=settings.instance.region,
+        service=settings.backend.service,
+        inner_address=str(settings.listen.peers),
+        gossip_address=str(settings.listen.gossip),
+        state=MemberState.JOINING,
+        version=1,
+        slots=settings.backend.slots,
+    )
+
+
+def _start_configuration(
+    *,
+    tables_store: TablesStore,
+    transport: Transport,
+    snapshot: TablesSnapshot,
+    clock: Clock,
+) -> tuple[pykka.ActorRef, tuple[pykka.ActorRef, ...]]:
+    configuration = Configuration.start(snapshot=snapshot)
+    fetcher = Fetcher.start(
+        configuration=configuration, transport=transport, clock=clock
+    )
+    changes = Changes.start(
+        store=tables_store,
+        clock=clock,
+        tables_in_force=lambda: snapshot.current.tables,
+        on_accepted=lambda tables: configuration.tell(
+            TablesArrived(tables=tables, source="change")
+        ),
+    )
+
+    def fetch(effect: FetchTables) -> None:
+        fetcher.tell(effect)
+
+    configuration.tell(Connect(fetch=fetch, changes=changes))
+    return configuration, (fetcher, changes)
+
+
+def _subscribe(
+    *,
+    settings: Settings,
+    membership: pykka.ActorRef,
+    configuration: pykka.ActorRef,
+    synchronizer: pykka.ActorRef,
+    watcher: StoreWatcher,
+) -> None:
+    choose_watchers = make_watcher_choice(
+        zone=settings.instance.zone,
+        own_address=str(settings.listen.peers),
+        set_watching=watcher.set_watching,
+    )
+
+    def start_exchange(effect: StartSync) -> None:
+        synchronizer.tell(StartExchange(peer_address=effect.peer_address))
+
+    def hear_revision(effect: RevisionHeard) -> None:
+        configuration.tell(
+            HearRevision(revision=effect.revision, peer_address=effect.peer_address)
+        )
+
+    for effect_type, callback in (
+        (StartSync, start_exchange),
+        (RevisionHeard, hear_revision),
+        (MemberChanged, choose_watchers),
+    ):
+        membership.ask(Subscribe(effect_type=effect_type, callback=callback))
+    configuration.ask(
+        SubscribeTables(
+            callback=lambda adopted: membership.tell(
+                NoteRevision(revision=adopted.tables.revision)
+            )
+        )
+    )
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_picking.py
@@ -0,0 +1,45 @@
+"""Keeps the picker's endpoints in step with the members."""
+
+from collections.abc import Callable
+
+import pykka
+from vanillapitch_core.membership import MemberChanged, MemberState
+
+from vanillapitch_daemon.picker import Endpoint, EndpointChanged, EndpointRemoved
+from vanillapitch_daemon.settings import Address
+
+__all__ = ["make_picker_feed"]
+
+# A suspect may only be slow to answer pings; the picker judges by requests.
+_SERVING_STATES = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
+
+
+def make_picker_feed(picker: pykka.ActorRef) -> Callable[[MemberChanged], None]:
+    """Return a subscriber that tells the picker of endpoints.
+
+    Parameters
+    ----------
+    picker : pykka.ActorRef
+        The picker actor.
+
+    Returns
+    -------
+    callable
+        Subscriber of `MemberChanged`.
+    """
+
+    def feed(effect: MemberChanged) -> None:
+        record = effect.record
+        if record.state not in _SERVING_STATES:
+            picker.tell(EndpointRemoved(instance=record.instance))
+            return
+        address = Address(record.inner_address)
+        endpoint = Endpoint(
+            instance=record.instance,
+            address=(address.host, address.port),
+            service=record.service,
+            zone=record.zone,
+        )
+        picker.tell(EndpointChanged(endpoint=endpoint))
+
+    return feed
--- a/packages/vanillapitch-wire/idl/peers.thrift
+++ b/packages/vanillapitch-wire/idl/peers.thrift
@@ -15,7 +15,7 @@
 }
 
 service Peers {
-  DigestsReply sync_digests(1: string sender, 2: binary digests);
-  void sync_differences(1: string sender, 2: binary members);
+  DigestsReply sync_digests(1: binary digests);
+  void sync_differences(1: binary members);
   TablesReply fetch_tables(1: i64 min_revision);
 }
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/peers/Peers.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/peers/Peers.py
@@ -19,19 +19,17 @@
 
 
 class Iface(object):
-    def sync_digests(self, sender, digests):
+    def sync_digests(self, digests):
         """
         Parameters:
-         - sender
          - digests
 
         """
         pass
 
-    def sync_differences(self, sender, members):
+    def sync_differences(self, members):
         """
         Parameters:
-         - sender
          - members
 
         """
@@ -53,20 +51,18 @@
             self._oprot = oprot
         self._seqid = 0
 
-    def sync_digests(self, sender, digests):
+    def sync_digests(self, digests):
         """
         Parameters:
-         - sender
          - digests
 
         """
-        self.send_sync_digests(sender, digests)
+        self.send_sync_digests(digests)
         return self.recv_sync_digests()
 
-    def send_sync_digests(self, sender, digests):
+    def send_sync_digests(self, digests):
         self._oprot.writeMessageBegin('sync_digests', TMessageType.CALL, self._seqid)
         args = sync_digests_args()
-        args.sender = sender
         args.digests = digests
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
@@ -87,20 +83,18 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "sync_digests failed: unknown result")
 
-    def sync_differences(self, sender, members):
+    def sync_differences(self, members):
         """
         Parameters:
-         - sender
          - members
 
         """
-        self.send_sync_differences(sender, members)
+        self.send_sync_differences(members)
         self.recv_sync_differences()
 
-    def send_sync_differences(self, sender, members):
+    def send_sync_differences(self, members):
         self._oprot.writeMessageBegin('sync_differences', TMessageType.CALL, self._seqid)
         args = sync_differences_args()
-        args.sender = sender
         args.members = members
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
@@ -187,7 +181,7 @@
         iprot.readMessageEnd()
         result = sync_digests_result()
         try:
-            result.success = self._handler.sync_digests(args.sender, args.digests)
+            result.success = self._handler.sync_digests(args.digests)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -210,7 +204,7 @@
         iprot.readMessageEnd()
         result = sync_differences_result()
         try:
-            self._handler.sync_differences(args.sender, args.members)
+            self._handler.sync_differences(args.members)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -256,19 +250,16 @@
 class sync_digests_args(object):
     """
     Attributes:
-     - sender
      - digests
 
     """
 
     __slots__ = (
-        'sender',
         'digests',
     )
 
 
-    def __init__(self, sender=None, digests=None,):
-        self.sender = sender
+    def __init__(self, digests=None,):
         self.digests = digests
 
     def read(self, iprot):
@@ -281,11 +272,6 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.STRING:
                     self.digests = iprot.readBinary()
                 else:
@@ -300,12 +286,8 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('sync_digests_args')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRING, 1)
-            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
-            oprot.writeFieldEnd()
         if self.digests is not None:
-            oprot.writeFieldBegin('digests', TType.STRING, 2)
+            oprot.writeFieldBegin('digests', TType.STRING, 1)
             oprot.writeBinary(self.digests)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -334,8 +316,7 @@
 all_structs.append(sync_digests_args)
 sync_digests_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'digests', 'BINARY', None, ),  # 2
+    (1, TType.STRING, 'digests', 'BINARY', None, ),  # 1
 )
 
 
@@ -415,19 +396,16 @@
 class sync_differences_args(object):
     """
     Attributes:
-     - sender
      - members
 
     """
 
     __slots__ = (
-        'sender',
         'members',
     )
 
 
-    def __init__(self, sender=None, members=None,):
-        self.sender = sender
+    def __init__(self, members=None,):
         self.members = members
 
     def read(self, iprot):
@@ -440,11 +418,6 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.STRING:
                     self.members = iprot.readBinary()
                 else:
@@ -459,12 +432,8 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('sync_differences_args')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRING, 1)
-            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
-            oprot.writeFieldEnd()
         if self.members is not None:
-            oprot.writeFieldBegin('members', TType.STRING, 2)
+            oprot.writeFieldBegin('members', TType.STRING, 1)
             oprot.writeBinary(self.members)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -493,8 +462,7 @@
 all_structs.append(sync_differences_args)
 sync_differences_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'members', 'BINARY', None, ),  # 2
+    (1, TType.STRING, 'members', 'BINARY', None, ),  # 1
 )
 
 
