Wire membership and configuration into the daemon

A fleet of daemons now finds its members by seeds or by introducers in the store, the picker follows the members, and tables and zones reach every daemon.

--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
@@ -1,6 +1,7 @@
 """Merging of records: the highest record of an address is the valid one."""
 
 import dataclasses
+import math
 import sys
 
 from vanillapitch_core.membership._dissemination import mark_update
@@ -61,6 +62,9 @@
     version = state.own.version + 1
     state.own = dataclasses.replace(state.own, state=new_state, version=version)
     mark_update(state, state.own.address, is_urgent=True)
+    if new_state == MemberState.LEFT:
+        # The daemon ends at once; its last message cannot wait for others.
+        state.last_urgent_ms = -math.inf
     return [MemberChanged(record=state.own)]
 
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,9 +5,12 @@
 
 import pykka
 from vanillapitch_core import Clock
+from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
+from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
+from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
@@ -47,6 +50,10 @@
         Connections to other daemons.
     backend : BackendClient
         Connections to the backend server.
+    store : EtcdGatewayStore
+        Client of the platform's store.
+    fleet : Fleet
+        Membership and configuration.
     """
 
     endpoint: Endpoint
@@ -57,6 +64,8 @@
     peers: Server
     transport: Transport
     backend: BackendClient
+    store: EtcdGatewayStore
+    fleet: Fleet
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -107,6 +116,19 @@
     transport = Transport(
         cluster_key=cluster_key, max_frame_bytes=max_frame_bytes, clock=clock
     )
+    store = EtcdGatewayStore(
+        addresses=settings.platform.addresses,
+        timeout_ms=settings.platform.timeout_ms,
+        clock=clock,
+    )
+    fleet = build_fleet(
+        settings,
+        instance=endpoint.instance,
+        store=store,
+        transport=transport,
+        snapshot=snapshot,
+        clock=clock,
+    )
     attempt = make_attempter(
         picker=picker,
         transport=transport,
@@ -129,7 +151,8 @@
         address=endpoint.address,
         cluster_key=cluster_key,
         processors_by_service={
-            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
+            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
+            PEERS_SERVICE: PeersProcessor(fleet.handler),
         },
         max_frame_bytes=max_frame_bytes,
     )
@@ -142,4 +165,6 @@
         peers=peers,
         transport=transport,
         backend=backend,
+        store=store,
+        fleet=fleet,
     )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 import pykka
 from vanillapitch_core import Clock
@@ -128,8 +129,15 @@
     helpers: tuple[pykka.ActorRef, ...]
     seeds: tuple[str, ...]
 
-    def start(self) -> None:
-        """Begin to receive messages and to read the store."""
+    def start(self, *, feed_picker: Callable[[MemberChanged], None]) -> None:
+        """Begin to receive messages and to read the store.
+
+        Parameters
+        ----------
+        feed_picker : callable
+            Subscriber that tells the picker of members.
+        """
+        self.membership.ask(Subscribe(effect_type=MemberChanged, callback=feed_picker))
         self.gossip.start(
             on_message=lambda message, source: self.membership.tell(
                 HearMessage(message=message, source=source)
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -8,8 +8,10 @@
 import threading
 
 from vanillapitch_core import SystemClock
+from vanillapitch_core.membership import MemberState
 
 from vanillapitch_daemon.assembly import Daemon, build_daemon
+from vanillapitch_daemon.membership import make_picker_feed
 from vanillapitch_daemon.owner import SetState
 from vanillapitch_daemon.picker import EndpointChanged
 from vanillapitch_daemon.settings import Settings, SettingsError, load_settings
@@ -81,6 +83,8 @@
     daemon.picker.tell(EndpointChanged(endpoint=daemon.endpoint))
     daemon.peers.start()
     daemon.callers.start()
+    daemon.fleet.start(feed_picker=make_picker_feed(daemon.picker))
+    daemon.fleet.announce(MemberState.ALIVE)
     _log.info("main: started instance=%s", daemon.endpoint.instance)
 
 
@@ -100,12 +104,15 @@
         Exit code: 0 when every request was answered.
     """
     _log.info("main: draining")
+    daemon.fleet.announce(MemberState.LEAVING)
     daemon.admission.ask(SetState(state="leaving"))
     daemon.callers.drain()
     drained = daemon.callers.wait_until_drained(drain_timeout_ms / 1000)
+    daemon.fleet.stop()
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
+    daemon.store.close()
     daemon.picker.stop()
     daemon.admission.stop()
     _log.info("main: stopped drained=%s", drained)
--- /dev/null
+++ b/packages/vanillapitch-daemon/tests/test_fleet.py
@@ -0,0 +1,276 @@
+"""Failure tests of membership and configuration over loopback sockets."""
+
+import socket
+import time
+
+import msgspec
+import pytest
+import urllib3
+from vanillapitch_core import ManualClock, SystemClock
+from vanillapitch_core.membership import MemberState, Message, MessageKind
+from vanillapitch_core.tables import Pool, Route
+from vanillapitch_daemon.admin import ChangeStatus, TablesChange, ZoneChange
+from vanillapitch_daemon.assembly import build_daemon
+from vanillapitch_daemon.main import start_daemon, stop_daemon
+from vanillapitch_daemon.membership import GetMembers, GossipSocket, NullMeter
+from vanillapitch_daemon.settings import PlatformSettings, SecretsSettings
+from vanillapitch_testbed.store import StoreProcess
+from vanillapitch_wire.gossip import encode_message
+
+LEAVE_BOUND_S = 3.0
+REVISION_BOUND_S = 3.0
+KEY = b"k" * 32
+
+
+@pytest.fixture
+def own_store_process():
+    with StoreProcess() as process:
+        yield process
+
+
+@pytest.fixture
+def start_fleet(make_settings, make_backend):
+    """Start daemons one after the other; ``seeded`` ones know the first."""
+    started = []
+
+    def start(count, *, store_address=None, seeded=True, zones=("zone-a",), **secrets):
+        daemons = []
+        for index in range(count):
+            settings = make_settings(make_backend().server_port)
+            changes = {
+                "instance": msgspec.structs.replace(
+                    settings.instance, zone=zones[index % len(zones)]
+                )
+            }
+            if store_address:
+                changes["platform"] = PlatformSettings(
+                    addresses=(type(settings.listen.peers)(store_address),),
+                    timeout_ms=500,
+                )
+            if seeded and daemons:
+                changes["seeds"] = (daemons[0].gossip_address,)
+            if secrets:
+                changes["secrets"] = SecretsSettings(admin_token="t" * 16, **secrets)
+            settings = msgspec.structs.replace(settings, **changes)
+            daemon = build_daemon(settings, clock=SystemClock())
+            start_daemon(daemon)
+            started.append(daemon)
+            daemons.append(_Started(daemon, settings.listen.gossip))
+        return daemons
+
+    yield start
+    for daemon in started:
+        if daemon.admission.is_alive():
+            stop_daemon(daemon, drain_timeout_ms=5_000)
+
+
+class _Started:
+    """A daemon with the address that others use as a seed."""
+
+    def __init__(self, daemon, gossip_address):
+        self.daemon = daemon
+        self.gossip_address = gossip_address
+        self.admin = daemon.fleet.admin_configuration
+
+    def states(self):
+        records = self.daemon.fleet.membership.ask(GetMembers())
+        return {record.instance: record.state for record in records}
+
+    @property
+    def revision(self):
+        return self.daemon.snapshot.current.tables.revision
+
+
+def wait_until(condition, timeout_s):
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+def all_alive(daemons):
+    instances = {item.daemon.endpoint.instance for item in daemons}
+    return lambda: all(
+        set(item.states()) == instances
+        and set(item.states().values()) == {MemberState.ALIVE}
+        for item in daemons
+    )
+
+
+def tables_change(base_revision, change_id="first"):
+    return TablesChange(
+        base_revision=base_revision,
+        change_id=change_id,
+        author="test",
+        routes=(Route(name="all", pool="catalog"),),
+        pools=(Pool(name="catalog", service="catalog"),),
+    )
+
+
+def answers_of(daemon):
+    with urllib3.PoolManager(retries=False, timeout=10) as pool:
+        address = f"http://127.0.0.1:{daemon.callers.port}/"
+        return [pool.request("GET", address) for _ in range(30)]
+
+
+def test_daemons_find_each_other_by_seeds_while_the_store_is_down(start_fleet):
+    # Guards against a fleet that cannot start during an outage of the store.
+    daemons = start_fleet(3)
+    assert wait_until(all_alive(daemons), 10)
+
+
+def test_daemons_find_each_other_by_introducers(start_fleet, own_store_process):
+    # Guards against a daemon without seeds that stays alone.
+    daemons = start_fleet(3, store_address=own_store_process.address, seeded=False)
+    assert wait_until(all_alive(daemons), 15)
+
+
+def test_a_daemon_with_another_key_stays_outside(start_fleet):
+    # Guards against members, tables or zones that come from outside the cluster.
+    (member,) = start_fleet(1)
+    stranger = start_fleet(2, cluster_key="x" * 32)[1]
+    stranger.daemon.fleet.membership.ask(GetMembers())
+    time.sleep(1.5)
+    assert len(member.states()) == 1
+
+
+def test_a_leaving_daemon_gets_no_new_work_within_the_bound(
+    start_fleet, own_store_process
+):
+    # Guards against requests to a backend server that is shutting down (I7).
+    daemons = start_fleet(3, store_address=own_store_process.address)
+    assert wait_until(all_alive(daemons), 10)
+    first, _, leaver = daemons
+    result = first.admin.apply(tables_change(0))
+    assert result.status is ChangeStatus.ACCEPTED
+    assert wait_until(
+        lambda: (
+            leaver.daemon.endpoint.instance
+            in {a.headers["Vanillapitch-Instance"] for a in answers_of(first.daemon)}
+        ),
+        5,
+    )
+    assert stop_daemon(leaver.daemon, drain_timeout_ms=5_000) == 0
+    instance = leaver.daemon.endpoint.instance
+    assert wait_until(
+        lambda: first.states()[instance] is MemberState.LEFT, LEAVE_BOUND_S
+    )
+    answers = answers_of(first.daemon)
+    assert {answer.status for answer in answers} == {200}
+    assert instance not in {a.headers["Vanillapitch-Instance"] for a in answers}
+
+
+def test_a_zone_out_is_in_force_everywhere_within_the_bound(
+    start_fleet, own_store_process
+):
+    # Guards against a zone that gets new work after it was taken out (I3, I9).
+    daemons = start_fleet(
+        4, store_address=own_store_process.address, zones=("zone-a", "zone-b")
+    )
+    assert wait_until(all_alive(daemons), 10)
+    assert daemons[0].admin.apply(tables_change(0)).status is ChangeStatus.ACCEPTED
+    zone_out = ZoneChange(
+        zone="zone-b", in_service=False, change_id="out", author="test"
+    )
+    result = daemons[1].admin.set_zone(zone_out)
+    assert result.status is ChangeStatus.ACCEPTED
+    assert result.tables.zones_out == ("zone-b",)
+    assert wait_until(
+        lambda: all(item.revision == 2 for item in daemons), REVISION_BOUND_S
+    )
+    outside = {daemons[index].daemon.endpoint.instance for index in (0, 2)}
+    for item in daemons:
+        answers = answers_of(item.daemon)
+        assert {answer.status for answer in answers} == {200}
+        assert {a.headers["Vanillapitch-Instance"] for a in answers} <= outside
+
+
+def test_a_lost_answer_is_resolved_by_reading_back(start_fleet, own_store_process):
+    # Guards against an accepted change that the operator is told has failed.
+    (single,) = start_fleet(1, store_address=own_store_process.address)
+    own_store_process.set_faults(lose_answers=1)
+    result = single.admin.apply(tables_change(0))
+    assert result.status is ChangeStatus.ACCEPTED
+    assert result.tables.revision == 1
+    assert single.admin.apply(tables_change(0)).tables.revision == 1
+    conflict = single.admin.apply(tables_change(0, change_id="other"))
+    assert conflict.status is ChangeStatus.CONFLICT
+    assert [tables.revision for tables in single.admin.history(limit=5)] == [1]
+
+
+def test_a_change_during_an_outage_is_refused_and_tables_stay(
+    start_fleet, own_store_process
+):
+    # Guards against a change that is reported as made while the store is down, and
+    # against tables that are lost with the store.
+    (single,) = start_fleet(1, store_address=own_store_process.address)
+    assert single.admin.apply(tables_change(0)).status is ChangeStatus.ACCEPTED
+    assert wait_until(lambda: single.revision == 1, REVISION_BOUND_S)
+    own_store_process.set_faults(down="refuse")
+    zone_out = ZoneChange(
+        zone="zone-a", in_service=False, change_id="out", author="test"
+    )
+    assert single.admin.set_zone(zone_out).status is ChangeStatus.UNAVAILABLE
+    assert single.admin.tables().revision == 1
+    own_store_process.set_faults()
+    assert single.admin.set_zone(zone_out).status is ChangeStatus.ACCEPTED
+
+
+class CountingMeter(NullMeter):
+    """Counts dropped messages by reason."""
+
+    def __init__(self):
+        self.drops = []
+
+    def count_drop(self, reason):
+        self.drops.append(reason)
+
+
+def test_messages_that_are_forged_old_or_broken_are_dropped():
+    # Guards against records from outside the cluster and replays of old messages.
+    clock, meter, received = SystemClock(), CountingMeter(), []
+    gossip = GossipSocket(
+        address=("127.0.0.1", 0), cluster_key=KEY, clock=clock, meter=meter
+    )
+    gossip.start(
+        on_message=lambda message, source: received.append(message),
+        on_tick=lambda: None,
+    )
+    message = Message(
+        kind=MessageKind.UPDATE,
+        sequence=0,
+        sender="127.0.0.1:1/1",
+        sender_version=1,
+        sender_state=MemberState.ALIVE,
+        revision=0,
+    )
+    wall_ms = clock.wall_ms()
+    good = encode_message(message, cluster_key=KEY, wall_ms=wall_ms)
+    old = encode_message(message, cluster_key=KEY, wall_ms=wall_ms - 60_000)
+    forged = encode_message(message, cluster_key=b"x" * 32, wall_ms=wall_ms)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for datagram in (old, forged, b"", good[:40], b"x" * 1_401, good):
+            sender.sendto(datagram, ("127.0.0.1", gossip.port))
+    assert wait_until(lambda: received, 2)
+    gossip.close()
+    assert received == [message]
+    assert meter.drops == ["age", "hmac", "hmac", "hmac", "size"]
+
+
+def test_a_late_timer_does_not_queue_up():
+    # Guards against a burst of ticks after a pause, each of which would look timely.
+    clock = ManualClock()
+    ticks = []
+    gossip = GossipSocket(
+        address=("127.0.0.1", 0), cluster_key=KEY, clock=clock, meter=NullMeter()
+    )
+    gossip.start(
+        on_message=lambda message, source: None, on_tick=lambda: ticks.append(1)
+    )
+    assert wait_until(lambda: ticks, 2)
+    clock.advance(10_000)
+    time.sleep(0.5)
+    gossip.close()
+    assert len(ticks) <= 3
