--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_handle.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_handle.py
@@ -144,7 +144,7 @@
 
 def _peers_heard(state: MembershipState, event: PeersHeard) -> list[Effect]:
     new = set(event.gossip_addresses) - state.seeds
-    state.seeds |= new
+    state.seeds = set(event.gossip_addresses)
     if new and not state.members_by_address:
         state.next_seed_ping_ms = event.now_ms
     return []
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
@@ -167,7 +167,7 @@
     Attributes
     ----------
     gossip_addresses : tuple of str
-        Seeds from the settings or introducers from the store.
+        Seeds from the settings and introducers from the store; replace earlier ones.
     """
 
     gossip_addresses: tuple[str, ...]
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
@@ -235,11 +235,12 @@
         ),
         random_source=random.Random(random_source.random()),
     )
+    seeds = tuple(str(seed) for seed in settings.seeds)
     introducers = Introducers(
         store=store,
         members=lambda: membership.ask(GetMembers()),
         deliver=lambda addresses: membership.tell(
-            HearPeers(gossip_addresses=addresses)
+            HearPeers(gossip_addresses=(*seeds, *addresses))
         ),
         clock=clock,
         random_source=random.Random(random_source.random()),
@@ -262,7 +263,7 @@
         watcher=watcher,
         introducers=introducers,
         helpers=(synchronizer, *helpers),
-        seeds=tuple(str(seed) for seed in settings.seeds),
+        seeds=seeds,
     )
 
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_introducers.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_introducers.py
@@ -24,7 +24,7 @@
 LEASE_MS = 60_000
 # Two renewals may be lost before the lease ends.
 RENEWAL_MS = 20_000.0
-# A daemon without members looks again soon; one with members has no need to look.
+# A daemon without members looks again soon.
 SEARCH_MS = 2_000.0
 MAX_SEARCH_MS = 30_000.0
 
@@ -32,7 +32,7 @@
 
 
 class Introducers:
-    """Reads introducers while this daemon is alone, and registers it when chosen.
+    """Reads introducers, and registers this daemon when it is chosen.
 
     Parameters
     ----------
@@ -41,7 +41,7 @@
     members : callable
         Returns all records, the own one first.
     deliver : callable
-        Called with gossip addresses from the store.
+        Called with the gossip addresses from the store; they replace earlier ones.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -108,7 +108,8 @@
         own, *others = self._members()
         live = [record for record in others if not record.has_ended]
         is_chosen = _is_chosen(own, live)
-        if not live:
+        if is_chosen or not live:
+            # Introducers look too, so that fleets that started apart find each other.
             self._deliver(self._read())
         if is_chosen:
             self._register(own)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/membership_loop.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/membership_loop.py
@@ -72,6 +72,8 @@
         Tells whether messages from one address to another are lost.
     sent_bytes_by_address, received_bytes_by_address : Counter
         Bytes with IP and UDP headers, anti-entropy included.
+    message_count, event_count : int
+        Messages sent since the last reset, and events handled.
     changes : list of tuple
         Time, observer and record of each `MemberChanged`.
     """
@@ -92,6 +94,7 @@
         self.sent_bytes_by_address: collections.Counter[str] = collections.Counter()
         self.received_bytes_by_address: collections.Counter[str] = collections.Counter()
         self.message_count = 0
+        self.event_count = 0
         self.largest_message_bytes = 0
         self.changes: list[tuple[float, str, MemberRecord]] = []
         self._settings = settings
@@ -231,6 +234,7 @@
 
     def apply(self, address: str, event: Event) -> None:
         """Let a daemon handle an event, and carry out the effects."""
+        self.event_count += 1
         for effect in handle(self.states_by_address[address], event):
             self._carry_out(address, effect)
 
