Keep actors alive after failed events and test real signals

An unexpected exception in a pykka tell ends the actor; membership and configuration now log it and go on, and a change that fails in the daemon is reported as unknown, since its swap may have been sent. An invalid document in the store no longer hides the next valid one from a watcher. Tests with a real process: SIGSTOP for 3 s evicts nobody; SIGKILL is dead within 35 s and the replacement is recognised.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_actor.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_actor.py
@@ -107,6 +107,19 @@
             case Connect():
                 self._fetch = message.fetch
                 self._changes = message.changes
+            case _:
+                self._apply(message)
+        return None
+
+    def _apply(self, message: object) -> None:
+        try:
+            self._consider(message)
+        except Exception:
+            # A failed event must not end the actor.
+            _log.exception("Could not handle an event", event=type(message).__name__)
+
+    def _consider(self, message: object) -> None:
+        match message:
             case TablesArrived():
                 self._log_arrival(message)
                 self._carry_out(core.consider(self._state, message.tables))
@@ -118,7 +131,6 @@
                 )
             case NoteFetchFailed():
                 core.note_fetch_failed(self._state, message.revision)
-        return None
 
     def _subscribe(self, callback: Callable[[TablesAdopted], None]) -> None:
         self._callbacks.append(callback)
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_changes.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_changes.py
@@ -77,7 +77,15 @@
 
     def on_receive(self, message: ApplyChange) -> core.ChangeFinished:
         """Carry out one change."""
-        finished = self._run(message)
+        try:
+            finished = self._run(message)
+        except Exception:
+            # The swap may have been sent before the failure.
+            _log.exception("Change failed", change_id=message.change_id)
+            return core.ChangeFinished(
+                outcome=core.ChangeOutcome.UNKNOWN,
+                detail="the daemon failed; its log says why",
+            )
         if finished.outcome is core.ChangeOutcome.ACCEPTED:
             self._on_accepted(finished.tables)
         _log.info(
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_watcher.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_watcher.py
@@ -93,6 +93,8 @@
                 self._back_off()
             except TableError as error:
                 _log.error("The document in the store is invalid", error=error)
+                # Reads the current document next, instead of the same event again.
+                self._has_read = False
                 self._back_off()
             except Exception:
                 _log.exception("Watching of the store failed")
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_introducers.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_introducers.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 
+import pykka
 from vanillapitch_core import Clock
 from vanillapitch_core.configuration import choose_by_rendezvous
 from vanillapitch_core.membership import MemberRecord
@@ -89,6 +90,8 @@
                 _log.warning(
                     "Could not reach the store for introducers", code=error.code
                 )
+            except pykka.ActorDeadError:
+                return
             except Exception:
                 _log.exception("Introducers failed")
 
--- /dev/null
+++ b/packages/vanillapitch-daemon/tests/test_fleet_signals.py
@@ -0,0 +1,110 @@
+"""Failure tests of membership with a real process that is stopped and killed."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import msgspec
+import pytest
+from vanillapitch_core import SystemClock
+from vanillapitch_core.membership import MemberState
+from vanillapitch_daemon.assembly import build_daemon
+from vanillapitch_daemon.main import start_daemon, stop_daemon
+from vanillapitch_daemon.membership import GetMembers
+
+pytestmark = pytest.mark.integration
+
+OBSERVERS = 3
+STOP_S = 3.0
+DEAD_BOUND_S = 35.0
+
+
+@pytest.fixture
+def observers(make_settings, make_backend):
+    """Start daemons in this process that know the first one."""
+    daemons, seeds = [], ()
+    for _ in range(OBSERVERS):
+        settings = make_settings(make_backend().server_port)
+        settings = msgspec.structs.replace(settings, seeds=seeds)
+        seeds = seeds or (settings.listen.gossip,)
+        daemon = build_daemon(settings, clock=SystemClock())
+        start_daemon(daemon)
+        daemons.append(daemon)
+    yield daemons, seeds
+    for daemon in daemons:
+        stop_daemon(daemon, drain_timeout_ms=5_000)
+
+
+@pytest.fixture
+def start_process(make_settings, make_backend, observers, tmp_path):
+    """Start ``vanillapitchd`` with the same settings each time."""
+    settings = make_settings(make_backend().server_port)
+    settings = msgspec.structs.replace(settings, seeds=observers[1])
+    path = pathlib.Path(tmp_path, "settings.json")
+    document = msgspec.to_builtins(settings, builtin_types=(str,), enc_hook=str)
+    path.write_bytes(msgspec.json.encode(document))
+    processes = []
+
+    def start():
+        command = [
+            sys.executable,
+            "-c",
+            "from vanillapitch_daemon.main import main; main()",
+        ]
+        processes.append(subprocess.Popen([*command, "--settings", str(path)]))
+        return processes[-1], str(settings.listen.peers)
+
+    yield start
+    for process in processes:
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+
+def views(observers, address):
+    """Return what each observer holds of an address: instance and state."""
+    found = set()
+    for daemon in observers:
+        records = daemon.fleet.membership.ask(GetMembers())
+        matching = [r for r in records if r.address == address]
+        found |= {(r.instance, r.state) for r in matching} or {None}
+    return found
+
+
+def wait_for_state(observers, address, state, timeout_s):
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        found = views(observers, address)
+        if None not in found and {seen for _, seen in found} == {state}:
+            return next(iter(found))[0]
+        time.sleep(0.05)
+    raise AssertionError(f"expected {state}, found {found}")
+
+
+def test_a_stopped_process_evicts_nobody_and_comes_back(observers, start_process):
+    # Guards against a paused daemon that is lost for good or evicts the others.
+    daemons, _ = observers
+    process, address = start_process()
+    instance = wait_for_state(daemons, address, MemberState.ALIVE, 15)
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(STOP_S)
+    process.send_signal(signal.SIGCONT)
+    time.sleep(3)
+    assert wait_for_state(daemons, address, MemberState.ALIVE, 15) == instance
+    for daemon in daemons:
+        own = str(daemon.endpoint.instance).rpartition("/")[0]
+        wait_for_state(daemons, own, MemberState.ALIVE, 1)
+
+
+def test_a_killed_process_is_declared_dead_and_replaced(observers, start_process):
+    # Guards against a replaced VM that is mistaken for its predecessor.
+    daemons, _ = observers
+    process, address = start_process()
+    first = wait_for_state(daemons, address, MemberState.ALIVE, 15)
+    process.kill()
+    process.wait()
+    assert wait_for_state(daemons, address, MemberState.DEAD, DEAD_BOUND_S) == first
+    start_process()
+    assert wait_for_state(daemons, address, MemberState.ALIVE, 15) != first
