Let other parts spread and hear quarantine strikes

The quarantine needs strikes of other daemons within 2 s; the fleet now takes and delivers them. Strikes that would not fit into a message are ignored, and the status of an unknown member that ended starts no exchange.

--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_handle.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_handle.py
@@ -28,7 +28,12 @@
     SyncFinished,
     Tick,
 )
-from vanillapitch_core.membership._records import Status, instance_key, split_instance
+from vanillapitch_core.membership._records import (
+    ENDED_STATES,
+    Status,
+    instance_key,
+    split_instance,
+)
 from vanillapitch_core.membership._state import MembershipState
 from vanillapitch_core.membership._sync import request_sync, start_sync
 
@@ -100,10 +105,11 @@
     is_known = not was_alone
     for status in (sender_status, *message.statuses):
         changes = merge_status(state, now_ms, status)
-        if changes is None:
-            is_known = False
-        else:
+        if changes is not None:
             effects += changes
+        elif status.state not in ENDED_STATES:
+            # A member that ended and is not known here is of no interest.
+            is_known = False
     if not is_known:
         request_sync(state, now_ms)
     for strike in message.strikes:
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
@@ -35,6 +35,8 @@
 
 # Time after the start in which a higher incarnation belongs to a predecessor.
 _RENEWAL_MS = 60_000.0
+# Two SHA-256 digests in hexadecimal; a longer strike would leave no room in a message.
+_MAX_STRIKE_CHARACTERS = 128
 _URGENT_STATES = frozenset({MemberState.LEAVING, MemberState.LEFT})
 
 
@@ -195,7 +197,7 @@
 def merge_strike(
     state: MembershipState, now_ms: float, strike: Strike, *, is_own: bool = False
 ) -> list[Effect]:
-    """Keep and spread a strike that is not known yet.
+    """Keep and spread a strike that is not known yet; one that is too long is ignored.
 
     Parameters
     ----------
@@ -215,6 +217,8 @@
     """
     if strike.strike_id in state.strikes_by_id:
         return []
+    if len(strike.fingerprint) + len(strike.strike_id) > _MAX_STRIKE_CHARACTERS:
+        return []
     if len(state.strikes_by_id) >= state.settings.max_strikes:
         forget_strike(state, next(iter(state.strikes_by_id)))
     state.strikes_by_id[strike.strike_id] = strike
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
@@ -8,11 +8,13 @@
 from vanillapitch_core import Clock
 from vanillapitch_core.configuration import FetchTables
 from vanillapitch_core.membership import (
+    Effect,
     MemberChanged,
     MemberRecord,
     MemberState,
     RevisionHeard,
     StartSync,
+    Strike,
 )
 from vanillapitch_platform import KeyValueStore
 from vanillapitch_wire.gossip import decode_members
@@ -46,6 +48,7 @@
     NoteRevision,
     NoteSyncBytes,
     NullMeter,
+    RecordStrike,
     StartExchange,
     Subscribe,
     Synchronizer,
@@ -137,7 +140,7 @@
         feed_picker : callable
             Subscriber that tells the picker of members.
         """
-        self.membership.ask(Subscribe(effect_type=MemberChanged, callback=feed_picker))
+        self.subscribe(MemberChanged, feed_picker)
         self.gossip.start(
             on_message=lambda message, source: self.membership.tell(
                 HearMessage(message=message, source=source)
@@ -148,6 +151,34 @@
         self.watcher.start()
         self.introducers.start()
 
+    def members(self) -> tuple[MemberRecord, ...]:
+        """Return all records, the own one first."""
+        return self.membership.ask(GetMembers())
+
+    def subscribe(
+        self, effect_type: type[Effect], callback: Callable[[Effect], None]
+    ) -> None:
+        """Call back for each effect of a type, from the membership actor's thread.
+
+        Parameters
+        ----------
+        effect_type : type
+            For example `MemberChanged` or `StrikeHeard`.
+        callback : callable
+            Called with the effect; must not block.
+        """
+        self.membership.ask(Subscribe(effect_type=effect_type, callback=callback))
+
+    def record_strike(self, strike: Strike) -> None:
+        """Spread a quarantine strike of this daemon.
+
+        Parameters
+        ----------
+        strike : Strike
+            The strike.
+        """
+        self.membership.tell(RecordStrike(strike=strike))
+
     def announce(self, state: MemberState) -> None:
         """Announce a state of this daemon; waits until it is on its way.
 
--- a/packages/vanillapitch-daemon/tests/test_fleet.py
+++ b/packages/vanillapitch-daemon/tests/test_fleet.py
@@ -7,7 +7,13 @@
 import pytest
 import urllib3
 from vanillapitch_core import ManualClock, SystemClock
-from vanillapitch_core.membership import MemberState, Message, MessageKind
+from vanillapitch_core.membership import (
+    MemberState,
+    Message,
+    MessageKind,
+    Strike,
+    StrikeHeard,
+)
 from vanillapitch_core.tables import Pool, Route
 from vanillapitch_daemon.admin import ChangeStatus, TablesChange, ZoneChange
 from vanillapitch_daemon.assembly import build_daemon
@@ -19,6 +25,7 @@
 
 LEAVE_BOUND_S = 3.0
 REVISION_BOUND_S = 3.0
+STRIKE_BOUND_S = 2.0
 KEY = b"k" * 32
 
 
@@ -233,6 +240,20 @@
         self.drops.append(reason)
 
 
+def test_a_strike_reaches_the_other_daemons(start_fleet):
+    # Guards against a crashing request that finds a daemon without its quarantine.
+    daemons = start_fleet(3)
+    assert wait_until(all_alive(daemons), 10)
+    heard = []
+    for item in daemons[1:]:
+        item.daemon.fleet.subscribe(
+            StrikeHeard, lambda effect: heard.append(effect.strike)
+        )
+    strike = Strike(fingerprint="f" * 64, strike_id="s" * 32, at_ms=1)
+    daemons[0].daemon.fleet.record_strike(strike)
+    assert wait_until(lambda: heard == [strike, strike], STRIKE_BOUND_S)
+
+
 def test_messages_that_are_forged_old_or_broken_are_dropped():
     # Guards against records from outside the cluster and replays of old messages.
     clock, meter, received = SystemClock(), CountingMeter(), []
