--- a/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
@@ -12,6 +12,7 @@
     SendFailed,
     WireError,
 )
+from vanillapitch_wire.readiness import ReadinessPool
 from vanillapitch_wire.server import Server, current_socket
 
 __all__ = [
@@ -23,6 +24,7 @@
     "GossipMalformed",
     "GossipRejected",
     "HandshakeFailed",
+    "ReadinessPool",
     "SendFailed",
     "Server",
     "WireError",
