--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
@@ -1,6 +1,7 @@
 """Merging of records: the highest record of an address is the valid one."""
 
 import dataclasses
+import math
 import sys
 
 from vanillapitch_core.membership._dissemination import mark_update
@@ -34,6 +35,8 @@
 
 # Time after the start in which a higher incarnation belongs to a predecessor.
 _RENEWAL_MS = 60_000.0
+# Two SHA-256 digests in hexadecimal; a longer strike would leave no room in a message.
+_MAX_STRIKE_CHARACTERS = 128
 _URGENT_STATES = frozenset({MemberState.LEAVING, MemberState.LEFT})
 
 
@@ -61,6 +64,9 @@
     version = state.own.version + 1
     state.own = dataclasses.replace(state.own, state=new_state, version=version)
     mark_update(state, state.own.address, is_urgent=True)
+    if new_state == MemberState.LEFT:
+        # The daemon ends at once; its last message cannot wait for others.
+        state.last_urgent_ms = -math.inf
     return [MemberChanged(record=state.own)]
 
 
@@ -191,7 +197,7 @@
 def merge_strike(
     state: MembershipState, now_ms: float, strike: Strike, *, is_own: bool = False
 ) -> list[Effect]:
-    """Keep and spread a strike that is not known yet.
+    """Keep and spread a strike that is not known yet; one that is too long is ignored.
 
     Parameters
     ----------
@@ -211,6 +217,8 @@
     """
     if strike.strike_id in state.strikes_by_id:
         return []
+    if len(strike.fingerprint) + len(strike.strike_id) > _MAX_STRIKE_CHARACTERS:
+        return []
     if len(state.strikes_by_id) >= state.settings.max_strikes:
         forget_strike(state, next(iter(state.strikes_by_id)))
     state.strikes_by_id[strike.strike_id] = strike
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -6,10 +6,13 @@
 import signal
 import sys
 import threading
+import time
 
 from vanillapitch_core import SystemClock
+from vanillapitch_core.membership import MemberState, StrikeHeard
 
 from vanillapitch_daemon.assembly import Daemon, build_daemon
+from vanillapitch_daemon.membership import make_picker_feed
 from vanillapitch_daemon.owner import SetState
 from vanillapitch_daemon.picker import EndpointChanged
 from vanillapitch_daemon.settings import Settings, SettingsError, load_settings
@@ -18,6 +21,9 @@
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+# Peers that have not heard that this daemon leaves still send calls, which must be
+# refused and not cut off; one such silence shows that they have heard.
+PEERS_QUIET_S = 1.0
 
 _log = logging.getLogger("vanillapitch.main")
 
@@ -82,6 +88,12 @@
     daemon.peers.start()
     daemon.prober.start()
     daemon.callers.start()
+    daemon.quarantine.set_share(daemon.fleet.record_strike)
+    daemon.fleet.subscribe(
+        StrikeHeard, lambda effect: daemon.quarantine.hear(effect.strike)
+    )
+    daemon.fleet.start(feed_picker=make_picker_feed(daemon.picker))
+    daemon.fleet.announce(MemberState.ALIVE)
     _log.info("main: started instance=%s", daemon.endpoint.instance)
 
 
@@ -101,13 +113,19 @@
         Exit code: 0 when every request was answered.
     """
     _log.info("main: draining")
+    daemon.fleet.announce(MemberState.LEAVING)
     daemon.admission.ask(SetState(state="leaving"))
     daemon.callers.drain()
+    deadline_s = time.monotonic() + drain_timeout_ms / 1000
     drained = daemon.callers.wait_until_drained(drain_timeout_ms / 1000)
+    remaining_s = max(0.0, deadline_s - time.monotonic())
+    drained = daemon.peers.wait_until_quiet(PEERS_QUIET_S, remaining_s) and drained
     daemon.prober.stop()
+    daemon.fleet.stop()
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
+    daemon.store.close()
     daemon.picker.stop()
     daemon.admission.stop()
     _log.info("main: stopped drained=%s", drained)
