Add the claim protocol as pure state machines

- A claim that its holder gave up is stated not_run for as long as a delayed write can bring it back, and a second sender removes it by compare-and-swap.

--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/record.py
@@ -0,0 +1,173 @@
+"""The stored form of a claim and its place in the store."""
+
+import enum
+import hashlib
+import re
+
+import msgspec
+
+from vanillapitch_core.claims.exceptions import ClaimRecordError
+
+__all__ = [
+    "MAX_RESULT_BYTES",
+    "SHARD_COUNT",
+    "ClaimRecord",
+    "ClaimResult",
+    "ClaimState",
+    "claim_store_key",
+    "encode_claim",
+    "finished_record",
+    "is_valid_key",
+    "parse_claim",
+    "shard_of",
+]
+
+SHARD_COUNT = 16
+MAX_RESULT_BYTES = 16 * 1024
+
+_PREFIX = "/vanillapitch/claims"
+_KEY_PATTERN = re.compile(r"[\x20-\x7e]{1,128}")
+
+
+class ClaimState(enum.StrEnum):
+    """What the store knows of a keyed request."""
+
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+class ClaimResult(msgspec.Struct, kw_only=True, frozen=True):
+    """A response that a second sender gets again.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        Names and values.
+    body : bytes
+        The body.
+    instance : str
+        The endpoint that ran the request.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    instance: str = ""
+
+    def size_bytes(self) -> int:
+        """Return the size that counts towards `MAX_RESULT_BYTES`."""
+        header_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        return header_bytes + len(self.body)
+
+
+class ClaimRecord(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """The value of a claim in the store.
+
+    Attributes
+    ----------
+    claim_id : str
+        Unique id that the ingress made for one send.
+    fingerprint : str
+        Hash of the body.
+    holder : str
+        Instance of the ingress that made the claim.
+    state : ClaimState
+        Whether the request has ended.
+    result : ClaimResult or None
+        The response; None unless the state is ``done``, and None when the response is
+        larger than `MAX_RESULT_BYTES`.
+    """
+
+    claim_id: str
+    fingerprint: str
+    holder: str
+    state: ClaimState = ClaimState.RUNNING
+    result: ClaimResult | None = None
+
+
+def finished_record(
+    running: ClaimRecord, *, state: ClaimState, result: ClaimResult | None
+) -> ClaimRecord:
+    """Return the record of a request that ended.
+
+    Parameters
+    ----------
+    running : ClaimRecord
+        The record as claimed.
+    state : ClaimState
+        ``done`` or ``unknown``.
+    result : ClaimResult or None
+        The response; left out of the record when it is too large.
+
+    Returns
+    -------
+    ClaimRecord
+        The record to write.
+    """
+    if result is not None and result.size_bytes() > MAX_RESULT_BYTES:
+        result = None
+    return msgspec.structs.replace(running, state=state, result=result)
+
+
+def is_valid_key(key: str) -> bool:
+    """Tell whether an idempotency key has 1 to 128 printable ASCII characters."""
+    return _KEY_PATTERN.fullmatch(key) is not None
+
+
+def claim_store_key(*, route_pool: str, key: str) -> str:
+    """Return the store's key of a claim.
+
+    Parameters
+    ----------
+    route_pool : str
+        Pool of the matched route; the same key in another pool is another request.
+    key : str
+        The caller's idempotency key.
+
+    Returns
+    -------
+    str
+        ``/vanillapitch/claims/<shard>/<sha256>``.
+    """
+    digest = hashlib.sha256(f"{route_pool}\0{key}".encode()).hexdigest()
+    shard = int(digest[:2], 16) % SHARD_COUNT
+    return f"{_PREFIX}/{shard}/{digest}"
+
+
+def shard_of(store_key: str) -> int:
+    """Return the shard of a claim.
+
+    Raises
+    ------
+    ClaimRecordError
+        If `store_key` is not the key of a claim.
+    """
+    prefix, _, rest = store_key.rpartition("/")
+    head, _, shard = prefix.rpartition("/")
+    if head != _PREFIX or not rest or not shard.isdecimal():
+        raise ClaimRecordError(f"{store_key!r} is not the key of a claim")
+    if int(shard) >= SHARD_COUNT:
+        raise ClaimRecordError(f"{store_key!r} has an unknown shard")
+    return int(shard)
+
+
+def encode_claim(record: ClaimRecord) -> bytes:
+    """Encode a record; equal records have equal encodings."""
+    return msgspec.json.encode(record)
+
+
+def parse_claim(value: bytes) -> ClaimRecord:
+    """Decode a record.
+
+    Raises
+    ------
+    ClaimRecordError
+        If the value is not a claim.
+    """
+    try:
+        return msgspec.json.decode(value, type=ClaimRecord)
+    except msgspec.DecodeError as error:
+        raise ClaimRecordError(f"a stored claim is malformed: {error}") from error
--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/sender.py
@@ -0,0 +1,448 @@
+"""The claim of one send as a state machine.
+
+`start` and `advance` return the next state with one effect. The ingress carries out the
+effect and reports what happened as the next event, until the effect is a decision.
+"""
+
+import dataclasses
+import enum
+from typing import TypeAlias
+
+from vanillapitch_core.claims.record import ClaimRecord, ClaimResult, ClaimState
+from vanillapitch_core.outcome import Outcome, Refusal, RefusalCode
+
+__all__ = [
+    "AskHolder",
+    "ChangeNotSent",
+    "ClaimCreated",
+    "ClaimLost",
+    "ClaimNoEffect",
+    "ClaimNotSeen",
+    "ClaimTaken",
+    "Decision",
+    "Effect",
+    "Event",
+    "HolderGone",
+    "HolderNotRun",
+    "HolderResult",
+    "HolderRunning",
+    "MayRun",
+    "ReadClaim",
+    "ReadFailed",
+    "RecordRead",
+    "Refuse",
+    "RemoveClaim",
+    "Removed",
+    "Replay",
+    "SendClaim",
+    "SenderState",
+    "Step",
+    "TimeUp",
+    "advance",
+    "start",
+]
+
+# A claim is sent at most this often: to the preferred committer, the next one, and once
+# more after a lost answer or a removed claim.
+MAX_SENDS = 4
+
+_frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+class _Phase(enum.Enum):
+    CLAIMING = enum.auto()
+    READING_BACK = enum.auto()
+    ASKING_HOLDER = enum.auto()
+    READING_AGAIN = enum.auto()
+    REMOVING = enum.auto()
+    DECIDED = enum.auto()
+
+
+@_frozen
+class SenderState:
+    """Progress of one send.
+
+    Attributes
+    ----------
+    record : ClaimRecord
+        The claim that the send wants to make.
+    phase : enum
+        What the send waits for.
+    sends : int
+        How often the claim was sent.
+    committer_rank : int
+        Which committer the claim goes to, 0 for the preferred one.
+    may_exist : bool
+        Whether a claim of this send may be in the store, or may get there later.
+    met : ClaimRecord or None
+        The claim of another send that was found last.
+    """
+
+    record: ClaimRecord
+    phase: _Phase = _Phase.CLAIMING
+    sends: int = 0
+    committer_rank: int = 0
+    may_exist: bool = False
+    met: ClaimRecord | None = None
+
+
+@_frozen
+class ClaimCreated:
+    """The claim is in the store."""
+
+
+@_frozen
+class ClaimTaken:
+    """The store has another claim of the key."""
+
+    record: ClaimRecord
+
+
+@_frozen
+class ClaimNoEffect:
+    """The store did not take the claim and never will."""
+
+
+@_frozen
+class ClaimNotSeen:
+    """The answer was lost; a reading does not show the claim yet."""
+
+
+@_frozen
+class ClaimLost:
+    """The committer or its answer was lost."""
+
+
+@_frozen
+class ChangeNotSent:
+    """The committer cannot be reached, so the claim had no effect."""
+
+
+@_frozen
+class RecordRead:
+    """The key was read; `record` is None when it is absent."""
+
+    record: ClaimRecord | None
+
+
+@_frozen
+class ReadFailed:
+    """The key cannot be read."""
+
+
+@_frozen
+class HolderRunning:
+    """The holder still runs the request after the bounded wait, or does not answer."""
+
+
+@_frozen
+class HolderResult:
+    """The request ended at its holder."""
+
+    state: ClaimState
+    result: ClaimResult | None = None
+
+
+@_frozen
+class HolderNotRun:
+    """The holder states that the claim did not run and never will."""
+
+
+@_frozen
+class HolderGone:
+    """The holder cannot be reached, was replaced or does not know the claim."""
+
+
+@_frozen
+class Removed:
+    """The removal of a claim that did not run was tried."""
+
+
+@_frozen
+class TimeUp:
+    """The time for claiming has passed."""
+
+
+Event: TypeAlias = (
+    ClaimCreated
+    | ClaimTaken
+    | ClaimNoEffect
+    | ClaimNotSeen
+    | ClaimLost
+    | ChangeNotSent
+    | RecordRead
+    | ReadFailed
+    | HolderRunning
+    | HolderResult
+    | HolderNotRun
+    | HolderGone
+    | Removed
+    | TimeUp
+)
+
+
+@_frozen
+class SendClaim:
+    """Send the claim to a committer of its shard."""
+
+    committer_rank: int
+
+
+@_frozen
+class ReadClaim:
+    """Read the key."""
+
+
+@_frozen
+class AskHolder:
+    """Ask the holder of another claim for the result, for a bounded time."""
+
+    record: ClaimRecord
+
+
+@_frozen
+class RemoveClaim:
+    """Remove another claim, whose holder states that it does not run."""
+
+    record: ClaimRecord
+
+
+@_frozen
+class MayRun:
+    """The send holds the claim and runs the request."""
+
+
+@_frozen
+class Replay:
+    """Answer with the recorded result.
+
+    Attributes
+    ----------
+    result : ClaimResult
+        The answer to the caller.
+    abandon : bool
+        As for `Refuse`.
+    """
+
+    result: ClaimResult
+    abandon: bool
+
+
+@_frozen
+class Refuse:
+    """Refuse the send.
+
+    Attributes
+    ----------
+    refusal : Refusal
+        The answer to the caller.
+    abandon : bool
+        Whether a claim of this send may be in the store or get there later; the holder
+        must state ``not_run`` for it from now on, and remove it.
+    """
+
+    refusal: Refusal
+    abandon: bool
+
+
+Decision: TypeAlias = MayRun | Replay | Refuse
+Effect: TypeAlias = SendClaim | ReadClaim | AskHolder | RemoveClaim | Decision
+
+
+@_frozen
+class Step:
+    """Next state and the effect to carry out."""
+
+    state: SenderState
+    effect: Effect
+
+
+def start(record: ClaimRecord) -> Step:
+    """Begin a send.
+
+    Parameters
+    ----------
+    record : ClaimRecord
+        The claim to make, with an id that no other send has.
+
+    Returns
+    -------
+    Step
+        The first effect.
+    """
+    return _send(SenderState(record=record), committer_rank=0)
+
+
+def advance(state: SenderState, event: Event) -> Step:
+    """Take in what happened.
+
+    Parameters
+    ----------
+    state : SenderState
+        State of the last step.
+    event : Event
+        What its effect led to, or `TimeUp`.
+
+    Returns
+    -------
+    Step
+        The next state and effect.
+
+    Raises
+    ------
+    ValueError
+        If the event does not belong to the phase.
+    """
+    if isinstance(event, TimeUp):
+        return _time_up(state)
+    handler = _HANDLER_BY_PHASE.get(state.phase)
+    step = handler(state, event) if handler else None
+    if step is None:
+        raise ValueError(f"{event} does not belong to {state.phase}")
+    return step
+
+
+def _after_claim(state: SenderState, event: Event) -> Step | None:
+    match event:
+        case ClaimCreated():
+            return _decide(state, MayRun())
+        case ClaimTaken():
+            return _meet(state, event.record)
+        case ClaimNoEffect():
+            return _refuse(state, RefusalCode.CLAIMS_UNAVAILABLE)
+        case ChangeNotSent():
+            return _send(state, committer_rank=state.committer_rank + 1)
+        case ClaimNotSeen():
+            uncertain = dataclasses.replace(state, may_exist=True)
+            return _send(uncertain, committer_rank=state.committer_rank)
+        case ClaimLost():
+            uncertain = dataclasses.replace(state, may_exist=True)
+            return _step(uncertain, _Phase.READING_BACK, ReadClaim())
+    return None
+
+
+def _after_read_back(state: SenderState, event: Event) -> Step | None:
+    match event:
+        case RecordRead(record=None):
+            return _send(state, committer_rank=state.committer_rank + 1)
+        case RecordRead():
+            return _meet(state, event.record)
+        case ReadFailed():
+            return _refuse(state, RefusalCode.CLAIMS_UNAVAILABLE)
+    return None
+
+
+def _after_asking(state: SenderState, event: Event) -> Step | None:
+    match event:
+        case HolderRunning():
+            return _refuse(state, RefusalCode.KEY_IN_PROGRESS)
+        case HolderResult():
+            return _ended(state, event.state, event.result)
+        case HolderNotRun():
+            return _step(state, _Phase.REMOVING, RemoveClaim(record=state.met))
+        case HolderGone():
+            return _step(state, _Phase.READING_AGAIN, ReadClaim())
+    return None
+
+
+def _after_reading_again(state: SenderState, event: Event) -> Step | None:
+    match event:
+        case RecordRead(record=None):
+            return _send(state, committer_rank=state.committer_rank)
+        case RecordRead():
+            if event.record == state.met:
+                return _refuse(state, RefusalCode.OUTCOME_UNKNOWN)
+            return _meet(state, event.record)
+        case ReadFailed():
+            return _refuse(state, RefusalCode.OUTCOME_UNKNOWN)
+    return None
+
+
+def _after_removal(state: SenderState, event: Event) -> Step | None:
+    if isinstance(event, Removed):
+        return _send(state, committer_rank=state.committer_rank)
+    return None
+
+
+_HANDLER_BY_PHASE = {
+    _Phase.CLAIMING: _after_claim,
+    _Phase.READING_BACK: _after_read_back,
+    _Phase.ASKING_HOLDER: _after_asking,
+    _Phase.READING_AGAIN: _after_reading_again,
+    _Phase.REMOVING: _after_removal,
+}
+
+
+def _time_up(state: SenderState) -> Step:
+    if state.phase in (_Phase.ASKING_HOLDER, _Phase.READING_AGAIN):
+        return _refuse(state, RefusalCode.KEY_IN_PROGRESS)
+    if state.phase is _Phase.CLAIMING:
+        state = dataclasses.replace(state, may_exist=True)
+    return _refuse(state, RefusalCode.CLAIMS_UNAVAILABLE)
+
+
+def _meet(state: SenderState, met: ClaimRecord) -> Step:
+    if met.claim_id == state.record.claim_id:
+        return _decide(state, MayRun())
+    if met.fingerprint != state.record.fingerprint:
+        return _refuse(state, RefusalCode.KEY_REUSED)
+    if met.state is not ClaimState.RUNNING:
+        return _ended(state, met.state, met.result)
+    meeting = dataclasses.replace(state, met=met)
+    return _step(meeting, _Phase.ASKING_HOLDER, AskHolder(record=met))
+
+
+def _ended(state: SenderState, ended: ClaimState, result: ClaimResult | None) -> Step:
+    if ended is not ClaimState.DONE:
+        return _refuse(state, RefusalCode.OUTCOME_UNKNOWN)
+    if result is None:
+        return _refuse(state, RefusalCode.RESULT_NOT_KEPT)
+    return _decide(state, Replay(result=result, abandon=state.may_exist))
+
+
+def _send(state: SenderState, *, committer_rank: int) -> Step:
+    if state.sends == MAX_SENDS:
+        return _refuse(state, RefusalCode.CLAIMS_UNAVAILABLE)
+    sending = dataclasses.replace(
+        state, sends=state.sends + 1, committer_rank=committer_rank
+    )
+    return _step(sending, _Phase.CLAIMING, SendClaim(committer_rank=committer_rank))
+
+
+def _refuse(state: SenderState, code: RefusalCode) -> Step:
+    outcome, detail = _REFUSAL_BY_CODE[code]
+    refusal = Refusal(code=code, outcome=outcome, detail=detail)
+    return _decide(state, Refuse(refusal=refusal, abandon=state.may_exist))
+
+
+def _decide(state: SenderState, decision: Decision) -> Step:
+    return _step(state, _Phase.DECIDED, decision)
+
+
+def _step(state: SenderState, phase: _Phase, effect: Effect) -> Step:
+    return Step(state=dataclasses.replace(state, phase=phase), effect=effect)
+
+
+_REFUSAL_BY_CODE = {
+    RefusalCode.CLAIMS_UNAVAILABLE: (
+        Outcome.NOT_RUN,
+        "The key could not be claimed, so this send did not run; this says nothing "
+        "about an earlier send with the same key.",
+    ),
+    RefusalCode.KEY_REUSED: (
+        Outcome.NOT_RUN,
+        "The key belongs to a request with another body.",
+    ),
+    RefusalCode.KEY_IN_PROGRESS: (
+        Outcome.UNKNOWN,
+        "The first request with this key has not ended yet.",
+    ),
+    RefusalCode.OUTCOME_UNKNOWN: (
+        Outcome.UNKNOWN,
+        "It is not known whether the first request with this key ran.",
+    ),
+    RefusalCode.RESULT_NOT_KEPT: (
+        Outcome.RAN,
+        "The first request with this key ran; its result was too large to keep.",
+    ),
+}
