Add the claims part of the daemon and plug it into the request path

A keyed request must be claimed in the store before it runs, with few writes and without letting callers wait out an outage.

- claims.thrift: commit_claims for a committer, await_result for a holder; both are called in-process when this daemon is the one asked.
- Committer actor with a writing thread: one transaction of nested transactions per group, shared hourly leases, reading back after a lost answer.
While the store fails, changes that arrive during a call are told so at once.
- Holder actor and recorder thread: final statements for second senders, ends recorded in groups after the caller was answered, flushed at a stop.
- ClaimGate and the ingress: non-idempotent requests with a key are claimed.

24 tests with the store process cover concurrent sends, outages, lost answers, writes that take effect after their refusal, lost committers and holders.

--- a/packages/vanillapitch-core/src/vanillapitch_core/claims/__init__.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/__init__.py
@@ -28,7 +28,6 @@
     ClaimState,
     claim_store_key,
     encode_claim,
-    is_valid_key,
     parse_claim,
     shard_of,
 )
@@ -55,7 +54,6 @@
     "claim_store_key",
     "encode_claim",
     "finish_change",
-    "is_valid_key",
     "outcome_after_read",
     "outcome_of_compare",
     "parse_claim",
--- a/packages/vanillapitch-core/src/vanillapitch_core/claims/batching.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/batching.py
@@ -18,6 +18,7 @@
 MAX_GROUP_BYTES = 768 * 1024
 # Bounds memory and the time that a backlog takes after the store was slow.
 MAX_QUEUED_CHANGES = 4_000
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
 # 16 shards together use at most 240 of the several hundred writes a second that the
 # platform's service handles.
@@ -113,7 +114,9 @@
     def __init__(self, *, budget: WriteBudget):
         self.budget = budget
         self._queue: deque[QueuedChange] = deque()
+        self._queued_bytes = 0
         self._in_flight = False
+        self._store_failed = False
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -121,23 +124,27 @@
     def add(self, queued: QueuedChange) -> bool:
         """Queue a change.
 
+        While the store fails, only the changes that arrive between two calls are
+        queued, and the rest is told at once, so that callers do not wait out an outage.
+
         Returns
         -------
         bool
-            False when the queue is full; the change has no effect then.
+            False when the change is not queued and has no effect.
         """
-        if len(self._queue) >= MAX_QUEUED_CHANGES:
+        if self._store_failed and self._in_flight:
+            return False
+        size_bytes = self._queued_bytes + queued.change.size_bytes
+        if len(self._queue) >= MAX_QUEUED_CHANGES or size_bytes > MAX_QUEUED_BYTES:
             return False
         self._queue.append(queued)
+        self._queued_bytes = size_bytes
         return True
 
     def expire(self, now_ms: float) -> list[QueuedChange]:
         """Remove and return changes that nobody waits for any more."""
         expired = [each for each in self._queue if each.expires_at_ms <= now_ms]
-        if expired:
-            self._queue = deque(
-                each for each in self._queue if each.expires_at_ms > now_ms
-            )
+        self._remove(expired)
         return expired
 
     def next_group_at_ms(self, now_ms: float) -> float | None:
@@ -168,20 +175,27 @@
             first_by_key.setdefault(each.change.store_key, each)
         ready = sorted(first_by_key.values(), key=lambda each: not each.is_urgent)
         group = list(_bounded(ready))
-        taken = {id(each) for each in group}
-        self._queue = deque(each for each in self._queue if id(each) not in taken)
+        self._remove(group)
         return group
 
-    def finish_group(self) -> None:
-        """Note that the call is no longer in flight."""
+    def finish_group(self, *, failed: bool = False) -> None:
+        """Note that the call is no longer in flight, and whether the store failed."""
         self._in_flight = False
+        self._store_failed = failed
 
     def take_all(self) -> list[QueuedChange]:
         """Remove and return all queued changes, for shutdown."""
         queued = list(self._queue)
-        self._queue.clear()
+        self._remove(queued)
         return queued
 
+    def _remove(self, removed: list[QueuedChange]) -> None:
+        if not removed:
+            return
+        ids = {id(each) for each in removed}
+        self._queue = deque(each for each in self._queue if id(each) not in ids)
+        self._queued_bytes -= sum(each.change.size_bytes for each in removed)
+
 
 def _bounded(ready: list[QueuedChange]) -> Iterator[QueuedChange]:
     size_bytes = 0
--- a/packages/vanillapitch-core/src/vanillapitch_core/claims/holder.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/holder.py
@@ -18,11 +18,9 @@
 
 __all__ = ["HeldClaim", "HeldPhase", "HolderState"]
 
-# How long an ended claim is remembered for second senders after its record is in the
-# store, and how many claims that did not run are remembered at most. The record in the
-# store, or its removal, speaks for a claim that is forgotten.
-REMEMBER_ENDED_MS = 60_000.0
+# A write that was delayed in the network or the service takes effect long before this.
 REMEMBER_NOT_RUN_MS = 24 * 3_600_000.0
+# About 5 MB; such claims arise only when answers of the store are lost.
 MAX_REMEMBERED_NOT_RUN = 10_000
 
 
@@ -49,6 +47,8 @@
         Its progress.
     result : ClaimResult or None
         The response, when it is kept.
+    may_return : bool
+        Whether a write that was sent can still create the claim's record.
     forget_at_ms : float or None
         When it may be forgotten; None while its end is not in the store.
     """
@@ -57,6 +57,7 @@
     record: ClaimRecord
     phase: HeldPhase = HeldPhase.OPEN
     result: ClaimResult | None = None
+    may_return: bool = False
     forget_at_ms: float | None = None
 
 
@@ -90,7 +91,12 @@
         self._claims_by_id.pop(claim_id, None)
 
     def end(
-        self, claim_id: str, phase: HeldPhase, result: ClaimResult | None = None
+        self,
+        claim_id: str,
+        phase: HeldPhase,
+        result: ClaimResult | None = None,
+        *,
+        may_return: bool = False,
     ) -> HeldClaim:
         """Note the end of an open claim.
 
@@ -102,21 +108,22 @@
         held = self._claims_by_id.get(claim_id)
         if held is None or held.phase is not HeldPhase.OPEN:
             raise ValueError(f"claim {claim_id} is not open")
-        held = dataclasses.replace(held, phase=phase, result=result)
+        held = dataclasses.replace(
+            held, phase=phase, result=result, may_return=may_return
+        )
         self._claims_by_id[claim_id] = held
         return held
 
     def note_stored(self, claim_id: str, now_ms: float) -> None:
-        """Note that the end of a claim is in the store."""
+        """Note that the end of a claim is in the store, which speaks for it now."""
         held = self._claims_by_id.get(claim_id)
         if held is None:
             return
-        remember_ms = REMEMBER_ENDED_MS
-        if held.phase is HeldPhase.NOT_RUN:
-            # A delayed write can still bring its record into the store.
-            remember_ms = REMEMBER_NOT_RUN_MS
+        if held.phase is not HeldPhase.NOT_RUN or not held.may_return:
+            del self._claims_by_id[claim_id]
+            return
         self._claims_by_id[claim_id] = dataclasses.replace(
-            held, forget_at_ms=now_ms + remember_ms
+            held, forget_at_ms=now_ms + REMEMBER_NOT_RUN_MS
         )
 
     def forget(self, now_ms: float) -> None:
--- a/packages/vanillapitch-core/src/vanillapitch_core/claims/record.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/record.py
@@ -2,7 +2,6 @@
 
 import enum
 import hashlib
-import re
 
 import msgspec
 
@@ -17,7 +16,6 @@
     "claim_store_key",
     "encode_claim",
     "finished_record",
-    "is_valid_key",
     "parse_claim",
     "shard_of",
 ]
@@ -26,7 +24,6 @@
 MAX_RESULT_BYTES = 16 * 1024
 
 _PREFIX = "/vanillapitch/claims"
-_KEY_PATTERN = re.compile(r"[\x20-\x7e]{1,128}")
 
 
 class ClaimState(enum.StrEnum):
@@ -112,11 +109,6 @@
     return msgspec.structs.replace(running, state=state, result=result)
 
 
-def is_valid_key(key: str) -> bool:
-    """Tell whether an idempotency key has 1 to 128 printable ASCII characters."""
-    return _KEY_PATTERN.fullmatch(key) is not None
-
-
 def claim_store_key(*, route_pool: str, key: str) -> str:
     """Return the store's key of a claim.
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,19 +5,23 @@
 
 import pykka
 from vanillapitch_core import Clock
+from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
+from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
 
+from vanillapitch_daemon.claims import ClaimsPart, build_claims
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
     make_application,
     make_attempter,
+    make_claimer,
     make_retrier,
 )
 from vanillapitch_daemon.owner import Admission, BackendClient, Owner, OwnerHandler
 from vanillapitch_daemon.picker import Endpoint, Picker
-from vanillapitch_daemon.settings import Settings
+from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 from vanillapitch_daemon.transport import Transport
 
@@ -25,6 +29,8 @@
 
 # Headers and Thrift fields around a body.
 FRAME_OVERHEAD_BYTES = 1_048_576
+# A claim is read back within the time of one claim, see `vanillapitch_daemon.claims`.
+READ_BACK_TIMEOUT_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +53,8 @@
         Connections to other daemons.
     backend : BackendClient
         Connections to the backend server.
+    claims : ClaimsPart
+        Claims of keyed requests.
     """
 
     endpoint: Endpoint
@@ -57,6 +65,7 @@
     peers: Server
     transport: Transport
     backend: BackendClient
+    claims: ClaimsPart
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -114,11 +123,18 @@
         own_instance=endpoint.instance,
         clock=clock,
     )
+    claims = _build_claims(
+        settings.platform,
+        instance=endpoint.instance,
+        transport=transport,
+        clock=clock,
+    )
+    run_attempts = make_claimer(
+        run_attempts=make_retrier(attempt=attempt, clock=clock), gate=claims.gate
+    )
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
-        handler=make_application(
-            snapshot=snapshot, run_attempts=make_retrier(attempt=attempt, clock=clock)
-        ),
+        handler=make_application(snapshot=snapshot, run_attempts=run_attempts),
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
         max_header_bytes=limits.max_header_bytes,
@@ -129,7 +145,8 @@
         address=endpoint.address,
         cluster_key=cluster_key,
         processors_by_service={
-            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
+            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
+            CLAIMS_SERVICE: ClaimsProcessor(claims.handler),
         },
         max_frame_bytes=max_frame_bytes,
     )
@@ -142,4 +159,24 @@
         peers=peers,
         transport=transport,
         backend=backend,
+        claims=claims,
+    )
+
+
+def _build_claims(
+    platform: PlatformSettings, *, instance: str, transport: Transport, clock: Clock
+) -> ClaimsPart:
+    addresses = [str(address) for address in platform.addresses]
+    read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
+    return build_claims(
+        instance=instance,
+        writing_store=EtcdGatewayStore(
+            addresses=addresses, timeout_ms=platform.timeout_ms, clock=clock
+        ),
+        reading_store=EtcdGatewayStore(
+            addresses=addresses, timeout_ms=read_timeout_ms, clock=clock
+        ),
+        read_timeout_ms=read_timeout_ms,
+        transport=transport,
+        clock=clock,
     )
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/__init__.py
@@ -0,0 +1,28 @@
+"""Claims of keyed requests: the ingress side, the holder and the group committer."""
+
+from vanillapitch_daemon.claims._gate import (
+    Claim,
+    ClaimGate,
+    NotRun,
+    Ran,
+    RunUnknown,
+)
+from vanillapitch_daemon.claims._part import ClaimsPart, build_claims
+from vanillapitch_daemon.claims.exceptions import (
+    ClaimsError,
+    PeerAnswerLost,
+    PeerNotReached,
+)
+
+__all__ = [
+    "Claim",
+    "ClaimGate",
+    "ClaimsError",
+    "ClaimsPart",
+    "NotRun",
+    "PeerAnswerLost",
+    "PeerNotReached",
+    "Ran",
+    "RunUnknown",
+    "build_claims",
+]
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_committer.py
@@ -0,0 +1,232 @@
+"""Group committer: an actor with the queue and a thread that calls the store."""
+
+import concurrent.futures
+import dataclasses
+import logging
+import queue
+import threading
+from collections.abc import Sequence
+
+import pykka
+from vanillapitch_core import Clock
+from vanillapitch_core.claims import (
+    ChangeOutcome,
+    ChangeStatus,
+    ClaimChange,
+    CommitQueue,
+    QueuedChange,
+    WriteBudget,
+)
+from vanillapitch_core.claims.batching import WRITES_PER_SECOND_PER_SHARD
+
+from vanillapitch_daemon.claims._store_writer import StoreWriter
+
+__all__ = ["Committer", "GroupDone", "GroupDue", "PendingCommit", "ShardsChanged"]
+
+_NO_EFFECT = ChangeOutcome(status=ChangeStatus.NO_EFFECT)
+
+_log = logging.getLogger("vanillapitch.claims")
+
+
+class PendingCommit:
+    """Changes that arrived together, with a future of their outcomes.
+
+    Parameters
+    ----------
+    changes : sequence of ClaimChange
+        The changes; must not be empty.
+    expires_at_ms : float
+        Monotonic time after which they are not sent to the store any more.
+
+    Attributes
+    ----------
+    future : concurrent.futures.Future
+        Outcomes in the order of the changes.
+    """
+
+    def __init__(self, *, changes: Sequence[ClaimChange], expires_at_ms: float):
+        self.changes = changes
+        self.expires_at_ms = expires_at_ms
+        self.future: concurrent.futures.Future = concurrent.futures.Future()
+        self._outcomes: list[ChangeOutcome | None] = [None] * len(changes)
+        self._missing = len(changes)
+
+    def set_outcome(self, index: int, outcome: ChangeOutcome) -> None:
+        """Note the outcome of one change; called by the actor only."""
+        self._outcomes[index] = outcome
+        self._missing -= 1
+        if self._missing == 0:
+            self.future.set_result(tuple(self._outcomes))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ShardsChanged:
+    """The number of shards that this daemon commits has changed."""
+
+    shard_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GroupDue:
+    """The time to take a group has come."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GroupDone:
+    """A group was written.
+
+    Attributes
+    ----------
+    group : list of QueuedChange
+        The changes.
+    outcomes : list of ChangeOutcome
+        Their outcomes, in the same order.
+    """
+
+    group: list[QueuedChange]
+    outcomes: list[ChangeOutcome]
+
+
+class Committer(pykka.ThreadingActor):
+    """Gathers changes into groups and has them written one group at a time.
+
+    Parameters
+    ----------
+    writer : StoreWriter
+        Writes a group.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, writer: StoreWriter, clock: Clock):
+        super().__init__()
+        self._clock = clock
+        self._queue = CommitQueue(
+            budget=WriteBudget(
+                now_ms=clock.now_ms(), writes_per_second=WRITES_PER_SECOND_PER_SHARD
+            )
+        )
+        self._thread = _WriterThread(writer=writer, clock=clock, actor=self.actor_ref)
+
+    def on_start(self) -> None:
+        """Start the writing thread."""
+        self._thread.start()
+
+    def on_stop(self) -> None:
+        """Answer what is still queued; it had no effect."""
+        self._answer_no_effect(self._queue.take_all())
+        self._thread.stop()
+
+    def on_receive(self, message) -> None:
+        """Handle one message."""
+        match message:
+            case PendingCommit():
+                self._queue_changes(message)
+            case GroupDue():
+                self._take_group()
+            case GroupDone():
+                self._answer_group(message)
+            case ShardsChanged():
+                rate = WRITES_PER_SECOND_PER_SHARD * max(1, message.shard_count)
+                self._queue.budget.set_rate(self._clock.now_ms(), rate)
+        self._schedule()
+
+    def _queue_changes(self, commit: PendingCommit) -> None:
+        for index, change in enumerate(commit.changes):
+            queued = QueuedChange(
+                change=change,
+                queued_at_ms=self._clock.now_ms(),
+                expires_at_ms=commit.expires_at_ms,
+                ticket=(commit, index),
+            )
+            if not self._queue.add(queued):
+                commit.set_outcome(index, _NO_EFFECT)
+
+    def _take_group(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._answer_no_effect(self._queue.expire(now_ms))
+        due_at_ms = self._queue.next_group_at_ms(now_ms)
+        if due_at_ms is not None and due_at_ms <= now_ms:
+            self._thread.write(self._queue.take_group(now_ms))
+
+    def _answer_group(self, done: GroupDone) -> None:
+        failed = any(
+            outcome.status in (ChangeStatus.NO_EFFECT, ChangeStatus.LOST)
+            for outcome in done.outcomes
+        )
+        self._queue.finish_group(failed=failed)
+        for queued, outcome in zip(done.group, done.outcomes, strict=True):
+            commit, index = queued.ticket
+            commit.set_outcome(index, outcome)
+
+    def _answer_no_effect(self, changes: list[QueuedChange]) -> None:
+        for queued in changes:
+            commit, index = queued.ticket
+            commit.set_outcome(index, _NO_EFFECT)
+
+    def _schedule(self) -> None:
+        due_at_ms = self._queue.next_group_at_ms(self._clock.now_ms())
+        if due_at_ms is not None:
+            self._thread.wake_at(due_at_ms)
+
+
+class _WriterThread:
+    """Waits for the time of the next group and writes groups."""
+
+    def __init__(self, *, writer: StoreWriter, clock: Clock, actor: pykka.ActorRef):
+        self._writer = writer
+        self._clock = clock
+        self._actor = actor
+        self._commands: queue.SimpleQueue = queue.SimpleQueue()
+        self._thread = threading.Thread(
+            target=self._run, name="claims-writer", daemon=True
+        )
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._commands.put(None)
+
+    def wake_at(self, at_ms: float) -> None:
+        self._commands.put(at_ms)
+
+    def write(self, group: list[QueuedChange]) -> None:
+        self._commands.put(group)
+
+    def _run(self) -> None:
+        wake_at_ms: float | None = None
+        while True:
+            try:
+                command = self._commands.get(timeout=self._wait_s(wake_at_ms))
+            except queue.Empty:
+                wake_at_ms = None
+                self._tell(GroupDue())
+                continue
+            match command:
+                case None:
+                    return
+                case list():
+                    wake_at_ms = None
+                    outcomes = self._write(command)
+                    self._tell(GroupDone(group=command, outcomes=outcomes))
+                case _:
+                    wake_at_ms = command
+
+    def _wait_s(self, wake_at_ms: float | None) -> float | None:
+        if wake_at_ms is None:
+            return None
+        return max(0.0, wake_at_ms - self._clock.now_ms()) / 1000
+
+    def _write(self, group: list[QueuedChange]) -> list[ChangeOutcome]:
+        try:
+            return self._writer.write([queued.change for queued in group])
+        except Exception:
+            _log.exception("claims: writing a group failed unexpectedly")
+            return [ChangeOutcome(status=ChangeStatus.LOST)] * len(group)
+
+    def _tell(self, message) -> None:
+        try:
+            self._actor.tell(message)
+        except pykka.ActorDeadError:
+            _log.debug("claims: the committer stopped before its writing thread")
--- /dev/null
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
@@ -0,0 +1,201 @@
+"""Thread that records the ends of claims after the callers were answered."""
+
+import dataclasses
+import logging
+import threading
+from collections import defaultdict
+from collections.abc import Callable
+
+import pykka
+from vanillapitch_core import Clock
+from vanillapitch_core.claims import ChangeStatus, ClaimChange
+
+from vanillapitch_daemon.claims._holder import EndStored
+from vanillapitch_daemon.claims._routes import CommitRoutes
+from vanillapitch_daemon.claims.exceptions import PeerAnswerLost, PeerNotReached
+
+__all__ = ["Recorder"]
+
+GATHER_MS = 20.0
+COMMIT_TIMEOUT_MS = 3_000.0
+FIRST_RETRY_MS = 500.0
+MAX_RETRY_MS = 15_000.0
+# While the store is down no further request with a key runs, so what waits is what was
+# in flight. The bound keeps the daemon within its memory even so.
+MAX_PENDING_BYTES = 4 * 1024 * 1024
+MAX_PENDING = 20_000
+
+_log = logging.getLogger("vanillapitch.claims")
+
+_SETTLED = (ChangeStatus.APPLIED, ChangeStatus.TAKEN)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Pending:
+    claim_id: str
+    change: ClaimChange
+    due_at_ms: float
+    failures: int = 0
+
+
+class Recorder:
+    """Sends ends of claims to their committers in groups until they are stored.
+
+    Parameters
+    ----------
+    routes : CommitRoutes
+        Committers.
+    holder : pykka.ActorRef
+        Learns which ends are stored.
+    clock : Clock
+        Source of time.
+    count_event : callable
+        Takes the name of each event.
+    """
+
+    def __init__(
+        self,
+        *,
+        routes: CommitRoutes,
+        holder: pykka.ActorRef,
+        clock: Clock,
+        count_event: Callable[[str], None],
+    ):
+        self._routes = routes
+        self._holder = holder
+        self._clock = clock
+        self._count_event = count_event
+        self._changed = threading.Condition()
+        self._pending: list[_Pending] = []
+        self._pending_bytes = 0
+        self._sending = 0
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="claims-recorder", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Tell whether a result of this size may wait to be stored."""
+        return self._pending_bytes + size_bytes <= MAX_PENDING_BYTES
+
+    def add(self, claim_id: str, change: ClaimChange) -> None:
+        """Record the end of a claim soon; returns at once."""
+        due_at_ms = self._clock.now_ms() + GATHER_MS
+        pending = _Pending(claim_id=claim_id, change=change, due_at_ms=due_at_ms)
+        with self._changed:
+            if len(self._pending) >= MAX_PENDING:
+                self._count_event("end_not_recorded")
+                _log.error("claims: too many ends wait for the store; one is dropped")
+                return
+            self._push(pending)
+            self._changed.notify_all()
+
+    def tell_stored(self, claim_id: str) -> None:
+        """Tell the holder that the end of a claim is in the store."""
+        try:
+            self._holder.tell(EndStored(claim_id=claim_id))
+        except pykka.ActorDeadError:
+            _log.debug("claims: the holder stopped before the recorder")
+
+    def flush(self, timeout_ms: float) -> bool:
+        """Stop, and wait until everything is stored.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Bound of the wait, in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether everything is stored.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        with self._changed:
+            for pending in self._pending:
+                pending.due_at_ms = self._clock.now_ms()
+            self._changed.notify_all()
+            while self._pending or self._sending:
+                remaining_ms = deadline_ms - self._clock.now_ms()
+                if remaining_ms <= 0:
+                    break
+                self._changed.wait(remaining_ms / 1000)
+            left = len(self._pending) + self._sending
+            self._stopping = True
+            self._changed.notify_all()
+        if left:
+            _log.error("claims: stopped with ends that are not recorded count=%d", left)
+        return left == 0
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                batch = self._take_due()
+                while not batch and not self._stopping:
+                    self._changed.wait(self._wait_s())
+                    batch = self._take_due()
+                if self._stopping:
+                    return
+            self._send(batch)
+            with self._changed:
+                self._sending = 0
+                self._changed.notify_all()
+
+    def _take_due(self) -> list[_Pending]:
+        now_ms = self._clock.now_ms()
+        batch = [each for each in self._pending if each.due_at_ms <= now_ms]
+        if batch:
+            self._pending = [each for each in self._pending if each.due_at_ms > now_ms]
+            self._pending_bytes -= sum(each.change.size_bytes for each in batch)
+            self._sending = len(batch)
+        return batch
+
+    def _wait_s(self) -> float | None:
+        if not self._pending:
+            return None
+        due_at_ms = min(each.due_at_ms for each in self._pending)
+        return max(0.0, due_at_ms - self._clock.now_ms()) / 1000
+
+    def _send(self, batch: list[_Pending]) -> None:
+        by_committer: dict[str, list[_Pending]] = defaultdict(list)
+        for pending in batch:
+            # A committer that failed may be gone without the members knowing yet.
+            rank = pending.failures % 2
+            committer = self._routes.committer(pending.change.store_key, rank)
+            if committer is None:
+                committer = self._routes.committer(pending.change.store_key, 0)
+            by_committer[committer].append(pending)
+        for committer, group in by_committer.items():
+            self._send_group(committer, group)
+
+    def _send_group(self, committer: str, group: list[_Pending]) -> None:
+        deadline_ms = self._clock.now_ms() + COMMIT_TIMEOUT_MS
+        changes = [pending.change for pending in group]
+        try:
+            outcomes = self._routes.commit(committer, changes, deadline_ms)
+            settled = [outcome.status in _SETTLED for outcome in outcomes]
+        except (PeerNotReached, PeerAnswerLost) as error:
+            _log.warning("claims: ends were not recorded: %s", error)
+            settled = [False] * len(group)
+        for pending, is_settled in zip(group, settled, strict=True):
+            if is_settled:
+                self._count_event("end_recorded")
+                self.tell_stored(pending.claim_id)
+            else:
+                self._retry(pending)
+
+    def _retry(self, pending: _Pending) -> None:
+        delay_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2**pending.failures)
+        pending.failures += 1
+        pending.due_at_ms = self._clock.now_ms() + delay_ms
+        self._count_event("end_retried")
+        with self._changed:
+            self._push(pending)
+
+    def _push(self, pending: _Pending) -> None:
+        self._pending.append(pending)
+        self._pending_bytes += pending.change.size_bytes
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
@@ -2,6 +2,7 @@
 
 from vanillapitch_daemon.ingress._application import make_application
 from vanillapitch_daemon.ingress._attempts import make_attempter
+from vanillapitch_daemon.ingress._keyed import make_claimer
 from vanillapitch_daemon.ingress._memory import BodyMemory
 from vanillapitch_daemon.ingress._retry import make_retrier
 from vanillapitch_daemon.ingress._server import CallerServer
@@ -11,5 +12,6 @@
     "CallerServer",
     "make_application",
     "make_attempter",
+    "make_claimer",
     "make_retrier",
 ]
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -18,6 +18,9 @@
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+# Bound on writing the results of claims after the last answer; a result that the store
+# does not take leaves a claim whose later senders are answered `outcome_unknown`.
+RECORD_TIMEOUT_MS = 5_000
 
 _log = logging.getLogger("vanillapitch.main")
 
@@ -97,16 +100,17 @@
     Returns
     -------
     int
-        Exit code: 0 when every request was answered.
+        Exit code: 0 when every request was answered and every claim recorded.
     """
     _log.info("main: draining")
     daemon.admission.ask(SetState(state="leaving"))
     daemon.callers.drain()
     drained = daemon.callers.wait_until_drained(drain_timeout_ms / 1000)
+    recorded = daemon.claims.stop(RECORD_TIMEOUT_MS)
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
     daemon.picker.stop()
     daemon.admission.stop()
-    _log.info("main: stopped drained=%s", drained)
-    return 0 if drained else EXIT_FAILED
+    _log.info("main: stopped drained=%s recorded=%s", drained, recorded)
+    return 0 if drained and recorded else EXIT_FAILED
--- /dev/null
+++ b/packages/vanillapitch-wire/idl/claims.thrift
@@ -0,0 +1,40 @@
+// Calls about claims of keyed requests, to a committer and to a holder.
+
+struct ClaimChangeMessage {
+  1: required string kind;          // create, finish, release
+  2: required string store_key;
+  3: required binary expected;
+  4: required binary value;
+}
+
+struct CommitRequest {
+  1: required list<ClaimChangeMessage> changes;
+  2: required i32 remaining_ms;     // changes not sent to the store by then have no effect
+}
+
+struct ChangeOutcomeMessage {
+  1: required string status;        // applied, taken, no_effect, not_seen, lost
+  2: required binary current;
+}
+
+// Outcomes in the order of the changes.
+struct CommitReply {
+  1: required list<ChangeOutcomeMessage> outcomes;
+}
+
+struct AwaitRequest {
+  1: required string holder;        // instance; another incarnation answers "gone"
+  2: required string claim_id;
+  3: required i32 wait_ms;
+}
+
+struct AwaitReply {
+  1: required string statement;     // running, ended, not_run, gone
+  2: required string state;         // done or unknown, when ended
+  3: optional binary result;        // the result as it is stored
+}
+
+service Claims {
+  CommitReply commit_claims(1: CommitRequest request);
+  AwaitReply await_result(1: AwaitRequest request);
+}
