--- a/packages/vanillapitch-core/src/vanillapitch_core/claims/batching.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/batching.py
@@ -9,6 +9,8 @@
 
 __all__ = ["CommitQueue", "QueuedChange", "WriteBudget"]
 
+# Gathering saves writes only when they are scarce; with a well-filled budget it would
+# just delay callers (docs/decisions/claims.md).
 GATHER_MS = 2.0
 # Results wait for claims to go along with; nobody waits for them but second senders,
 # who ask the holder meanwhile.
@@ -53,6 +55,11 @@
         self._fill(now_ms)
         return max(0.0, (1 - self._tokens) * 1000 / self._writes_per_second)
 
+    def is_plentiful(self, now_ms: float) -> bool:
+        """Tell whether at least half of the burst is left."""
+        self._fill(now_ms)
+        return self._tokens >= BURST_WRITES / 2
+
     def spend(self, now_ms: float) -> None:
         """Take the token of one write; may be called early for unplanned writes."""
         self._fill(now_ms)
@@ -91,11 +98,9 @@
         """Whether a caller waits for the change."""
         return self.change.is_urgent
 
-    @property
-    def due_at_ms(self) -> float:
-        """When the change should be written at the latest, budget permitting."""
-        delay_ms = GATHER_MS if self.is_urgent else RESULT_DELAY_MS
-        return self.queued_at_ms + delay_ms
+    def due_at_ms(self, gather_ms: float) -> float:
+        """Return when to write the change at the latest, budget permitting."""
+        return self.queued_at_ms + (gather_ms if self.is_urgent else RESULT_DELAY_MS)
 
 
 class CommitQueue:
@@ -157,7 +162,8 @@
         """
         if self._in_flight or not self._queue:
             return None
-        due_at_ms = min(each.due_at_ms for each in self._queue)
+        gather_ms = 0.0 if self.budget.is_plentiful(now_ms) else GATHER_MS
+        due_at_ms = min(each.due_at_ms(gather_ms) for each in self._queue)
         if len(self._queue) >= MAX_GROUP_CHANGES:
             due_at_ms = now_ms
         return max(due_at_ms, now_ms + self.budget.wait_ms(now_ms))
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/__init__.py
@@ -1,5 +1,6 @@
 """Claims of keyed requests: the ingress side, the holder and the group committer."""
 
+from vanillapitch_daemon.claims._committer import ShardsChanged
 from vanillapitch_daemon.claims._gate import (
     Claim,
     ClaimGate,
@@ -24,5 +25,6 @@
     "PeerNotReached",
     "Ran",
     "RunUnknown",
+    "ShardsChanged",
     "build_claims",
 ]
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/claims_load.py
@@ -0,0 +1,176 @@
+"""Measure store writes per keyed request against the load of one committer.
+
+Usage: ``python -m vanillapitch_testbed.claims_load --shards 1 --rates 5,20,100``. Each
+request claims a key of its own and ends with a small result. The load is open-loop, so
+that a slow store does not slow down the senders. One line of JSON per rate.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import sys
+import time
+import uuid
+
+import msgspec
+from vanillapitch_core import SystemClock
+from vanillapitch_core.claims import ClaimResult
+from vanillapitch_daemon.claims import (
+    Claim,
+    ClaimsPart,
+    Ran,
+    ShardsChanged,
+    build_claims,
+)
+from vanillapitch_daemon.transport import Transport
+from vanillapitch_platform import EtcdGatewayStore
+
+from vanillapitch_testbed.store import StoreProcess
+
+__all__ = ["LoadFigures", "main", "measure"]
+
+STORE_TIMEOUT_MS = 1_000
+DEADLINE_MS = 5_000
+SETTLE_TIMEOUT_MS = 10_000
+SENDER_THREADS = 128
+RESULT_BODY = b"r" * 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadFigures:
+    """Figures of one load.
+
+    Attributes
+    ----------
+    requests_per_second : float
+        Rate at which requests began.
+    requests : int
+        Requests that were sent.
+    refused : int
+        Requests that were not granted their key.
+    writes_per_request : float
+        Writing calls to the store per request, results included.
+    writes_per_second : float
+        The same per second of load.
+    claim_p50_ms, claim_p99_ms : float
+        Time that claiming added to a request.
+    """
+
+    requests_per_second: float
+    requests: int
+    refused: int
+    writes_per_request: float
+    writes_per_second: float
+    claim_p50_ms: float
+    claim_p99_ms: float
+
+
+def measure(
+    *, shards: int, rate: float, seconds: float, slow_ms: float = 0.0
+) -> LoadFigures:
+    """Measure one load through one committer.
+
+    Parameters
+    ----------
+    shards : int
+        Shards of the committer, which set its write budget.
+    rate : float
+        Requests a second.
+    seconds : float
+        Duration of the load.
+    slow_ms : float
+        Delay that the store adds to each call.
+
+    Returns
+    -------
+    LoadFigures
+        The figures.
+    """
+    with StoreProcess() as process:
+        part = _build_part(process.address)
+        part.committer.tell(ShardsChanged(shard_count=shards))
+        # The first claim also grants the lease of the hour.
+        _send(part)
+        time.sleep(1.0)
+        process.set_faults(slow_ms=slow_ms)
+        process.reset_counters()
+        claim_ms, elapsed_s = _run(part, rate, seconds)
+        part.stop(SETTLE_TIMEOUT_MS)
+        writes = process.counters().writes
+    granted = sorted(each for each in claim_ms if each is not None)
+    return LoadFigures(
+        requests_per_second=round(len(claim_ms) / elapsed_s, 1),
+        requests=len(claim_ms),
+        refused=len(claim_ms) - len(granted),
+        writes_per_request=round(writes / len(claim_ms), 3),
+        writes_per_second=round(writes / elapsed_s, 1),
+        claim_p50_ms=round(granted[len(granted) // 2], 2),
+        claim_p99_ms=round(granted[int(len(granted) * 0.99)], 2),
+    )
+
+
+def _build_part(address: str) -> ClaimsPart:
+    clock = SystemClock()
+    transport = Transport(cluster_key=b"", max_frame_bytes=1, clock=clock)
+    stores = [
+        EtcdGatewayStore(addresses=[address], timeout_ms=STORE_TIMEOUT_MS)
+        for _ in range(2)
+    ]
+    return build_claims(
+        instance="127.0.0.1:1/1",
+        writing_store=stores[0],
+        reading_store=stores[1],
+        read_timeout_ms=STORE_TIMEOUT_MS,
+        transport=transport,
+        clock=clock,
+    )
+
+
+def _run(part: ClaimsPart, rate: float, seconds: float):
+    count = max(1, round(rate * seconds))
+    started = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(SENDER_THREADS) as threads:
+        futures = []
+        for index in range(count):
+            time.sleep(max(0.0, started + index / rate - time.monotonic()))
+            futures.append(threads.submit(_send, part))
+        elapsed_s = time.monotonic() - started
+        return [future.result() for future in futures], elapsed_s
+
+
+def _send(part: ClaimsPart) -> float | None:
+    started_ms = SystemClock().now_ms()
+    begun = part.gate.begin(
+        key=uuid.uuid4().hex,
+        route_pool="reserve",
+        fingerprint="f" * 64,
+        deadline_ms=started_ms + DEADLINE_MS,
+    )
+    elapsed_ms = SystemClock().now_ms() - started_ms
+    if not isinstance(begun, Claim):
+        return None
+    part.gate.finish(begun, Ran(result=ClaimResult(status=201, body=RESULT_BODY)))
+    return elapsed_ms
+
+
+def main() -> int:
+    """Measure the loads named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--shards", type=int, default=16)
+    parser.add_argument("--rates", default="2,5,10,20,50,100,200,400")
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--slow-ms", type=float, default=0.0)
+    options = parser.parse_args()
+    for rate in options.rates.split(","):
+        figures = measure(
+            shards=options.shards,
+            rate=float(rate),
+            seconds=options.seconds,
+            slow_ms=options.slow_ms,
+        )
+        print(msgspec.json.encode(figures).decode(), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
