--- a/packages/vanillapitch-daemon/tests/test_claims_faults.py
+++ b/packages/vanillapitch-daemon/tests/test_claims_faults.py
@@ -1,5 +1,6 @@
 """Tests of claims under faults of the store, committers and holders."""
 
+import random
 import threading
 import time
 import uuid
@@ -13,7 +14,7 @@
     parse_claim,
     shard_of,
 )
-from vanillapitch_daemon.claims import Claim, NotRun, Ran
+from vanillapitch_daemon.claims import Claim, NotRun, Ran, RunUnknown
 
 pytestmark = pytest.mark.integration
 
@@ -182,3 +183,79 @@
     for key in keys:
         entry = store.get(claim_store_key(route_pool="catalog", key=key)).entry
         assert entry.lease_id
+
+
+FAULTS = [
+    {},
+    {},
+    {"lose_probability": 0.3},
+    {"slow_ms": 30},
+    {"slow_ms": 700},
+    {"down": "refuse"},
+    {"down": "hang"},
+    {"max_writes_per_second": 20},
+]
+
+
+class Senders:
+    """Threads that send random keys through random nodes and run what is granted."""
+
+    def __init__(self, *, nodes, seed, key_count, duration_s):
+        self.nodes = nodes
+        self.seed = seed
+        self.keys = [uuid.uuid4().hex for _ in range(key_count)]
+        self.ends_at = time.monotonic() + duration_s
+        self.runs = []
+        self.answers = []
+
+    def send_all(self, index):
+        choice = random.Random(f"{self.seed}/{index}")
+        while time.monotonic() < self.ends_at:
+            node = choice.choice(self.nodes)
+            key = choice.choice(self.keys)
+            begun = node.begin(key, timeout_ms=choice.choice([100, 600, 3_000]))
+            if isinstance(begun, Claim):
+                self.run(choice, node, key, begun)
+            else:
+                self.answers.append((key, begun))
+
+    def run(self, choice, node, key, claim):
+        claim_id = claim.record.claim_id
+        time.sleep(choice.expovariate(50))
+        if choice.random() < 0.2:
+            node.part.gate.finish(claim, NotRun())
+            return
+        self.runs.append((key, claim_id))
+        result = ClaimResult(status=200, body=claim_id.encode())
+        ending = RunUnknown() if choice.random() < 0.1 else Ran(result=result)
+        node.part.gate.finish(claim, ending)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_random_faults_never_run_a_key_twice(make_nodes, store_process, seed):
+    # Guards against faults that only occur together: outages, lost answers, slow
+    # writes and committers that die, while several daemons send the same keys.
+    nodes = make_nodes(4)
+    choice = random.Random(seed)
+    senders = Senders(nodes=nodes, seed=seed, key_count=60, duration_s=6)
+    threads = [
+        threading.Thread(target=senders.send_all, args=(index,)) for index in range(12)
+    ]
+    for thread in threads:
+        thread.start()
+    while time.monotonic() < senders.ends_at:
+        store_process.set_faults(**choice.choice(FAULTS), seed=seed)
+        time.sleep(choice.uniform(0.1, 0.8))
+        if choice.random() < 0.1:
+            senders.nodes = [*nodes[1:], *make_nodes(1)]
+            nodes[0].server.close()
+    for thread in threads:
+        thread.join()
+    run_by_key = dict(senders.runs)
+    assert len(run_by_key) == len(senders.runs), "a key ran twice"
+    assert len(run_by_key) > 5
+    for key, answer in senders.answers:
+        if isinstance(answer, ClaimResult):
+            assert answer.body == run_by_key[key].encode()
+        elif answer.outcome == "ran":
+            assert key in run_by_key
