--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_committer.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_committer.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import logging
+import math
 import queue
 import threading
 from collections.abc import Sequence
@@ -107,6 +108,7 @@
             )
         )
         self._thread = _WriterThread(writer=writer, clock=clock, actor=self.actor_ref)
+        self._wake_at_ms = math.inf
 
     def on_start(self) -> None:
         """Start the writing thread."""
@@ -123,6 +125,7 @@
             case PendingCommit():
                 self._queue_changes(message)
             case GroupDue():
+                self._wake_at_ms = math.inf
                 self._take_group()
             case GroupDone():
                 self._answer_group(message)
@@ -166,7 +169,8 @@
 
     def _schedule(self) -> None:
         due_at_ms = self._queue.next_group_at_ms(self._clock.now_ms())
-        if due_at_ms is not None:
+        if due_at_ms is not None and due_at_ms < self._wake_at_ms:
+            self._wake_at_ms = due_at_ms
             self._thread.wake_at(due_at_ms)
 
 
@@ -207,7 +211,6 @@
                 case None:
                     return
                 case list():
-                    wake_at_ms = None
                     outcomes = self._write(command)
                     self._tell(GroupDone(group=command, outcomes=outcomes))
                 case _:
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_gate.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_gate.py
@@ -45,11 +45,14 @@
         The record as claimed.
     may_return : bool
         Whether a delayed write can create the record again after its removal.
+    deadline_ms : float
+        Monotonic time in milliseconds at which the caller must have its answer.
     """
 
     store_key: str
     record: ClaimRecord
     may_return: bool
+    deadline_ms: float
 
 
 @_frozen
@@ -148,12 +151,15 @@
             claim_id=uuid.uuid4().hex, fingerprint=fingerprint, holder=self._instance
         )
         self._holder.tell(OpenClaim(store_key=store_key, record=record))
+        claim = Claim(
+            store_key=store_key, record=record, may_return=True, deadline_ms=deadline_ms
+        )
         try:
             step = self._attempt(store_key, record, deadline_ms)
         except BaseException:
-            self._abandon(store_key, record)
+            self._abandon(claim)
             raise
-        return self._decided(store_key, record, step)
+        return self._decided(claim, step)
 
     def finish(self, claim: Claim, ending: Ending) -> None:
         """End a claim.
@@ -192,7 +198,11 @@
         self._end(claim, HeldPhase.NOT_RUN)
         change = release_change(claim.store_key, claim.record)
         committer = self._routes.committer(claim.store_key, 0)
-        deadline_ms = self._clock.now_ms() + RELEASE_TIMEOUT_MS
+        now_ms = self._clock.now_ms()
+        deadline_ms = min(claim.deadline_ms, now_ms + RELEASE_TIMEOUT_MS)
+        if deadline_ms <= now_ms:
+            self._recorder.add(claim.record.claim_id, change)
+            return
         try:
             outcome = self._routes.commit(committer, [change], deadline_ms)[0]
         except (PeerNotReached, PeerAnswerLost):
@@ -224,26 +234,24 @@
         self._recorder.add(claim.record.claim_id, change)
 
     def _decided(
-        self, store_key: str, record: ClaimRecord, step: sender.Step
+        self, claim: Claim, step: sender.Step
     ) -> Claim | ClaimResult | Refusal:
         decision = step.effect
         if isinstance(decision, sender.MayRun):
             self._count_event("claimed")
-            return Claim(
-                store_key=store_key, record=record, may_return=step.state.may_exist
-            )
+            return dataclasses.replace(claim, may_return=step.state.may_exist)
         if decision.abandon:
-            self._abandon(store_key, record)
+            self._abandon(claim)
         else:
-            self._holder.tell(DropClaim(claim_id=record.claim_id))
+            self._holder.tell(DropClaim(claim_id=claim.record.claim_id))
         if isinstance(decision, sender.Replay):
             self._count_event("replayed")
             return decision.result
         self._count_event(decision.refusal.code.value)
         return decision.refusal
 
-    def _abandon(self, store_key: str, record: ClaimRecord) -> None:
+    def _abandon(self, claim: Claim) -> None:
         self._count_event("abandoned")
-        claim = Claim(store_key=store_key, record=record, may_return=True)
         self._end(claim, HeldPhase.NOT_RUN)
-        self._recorder.add(record.claim_id, release_change(store_key, record))
+        change = release_change(claim.store_key, claim.record)
+        self._recorder.add(claim.record.claim_id, change)
