Refuse a request whose ingress gave it up before it runs

After a pause of the owner, requests wait in its sockets while their ingress gives them up; the remaining time in the request does not show it. The owner checks the inner connection once more before it sends.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -56,6 +56,8 @@
         Thrift towards other daemons.
     transport : Transport
         Connections to other daemons.
+    owner : Owner
+        Runs requests on the backend server.
     backend : BackendClient
         Connections to the backend server.
     quarantine : Quarantine
@@ -72,6 +74,7 @@
     callers: CallerServer
     peers: Server
     transport: Transport
+    owner: Owner
     backend: BackendClient
     quarantine: Quarantine
     prober: Prober
@@ -180,6 +183,7 @@
         callers=callers,
         peers=peers,
         transport=transport,
+        owner=owner,
         backend=backend,
         quarantine=quarantine,
         prober=prober,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
@@ -63,6 +63,16 @@
         """Check the callable."""
         return self._is_cancelled is not None and self._is_cancelled()
 
+    def is_gone(self) -> bool:
+        """Check the callable and the inner connection."""
+        if self.is_set():
+            return True
+        if self.sock is None:
+            return False
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN)
+        return bool(poller.poll(0))
+
 
 class BackendClient:
     """Sends admitted requests to the backend server.
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
@@ -126,6 +126,17 @@
         )
         if pending.refusal is not None:
             return pending.refusal
+        if cancellation.is_gone():
+            # After a pause of this daemon, the ingress may have given the request up
+            # long ago; the remaining time in the request does not show it.
+            self._admission.tell(
+                Release(pending=pending, kind=AnswerKind.BROKEN, latency_ms=0.0)
+            )
+            return Refusal(
+                code=RefusalCode.CANCELLED,
+                outcome=Outcome.NOT_RUN,
+                detail="The request was given up before it ran.",
+            )
         return self._run_admitted(request, deadline_ms, cancellation, pending)
 
     def _serves_when_zone_out(self, request: DispatchRequest) -> bool:
--- a/packages/vanillapitch-daemon/tests/test_decisions.py
+++ b/packages/vanillapitch-daemon/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests of the decisions as the actors and the path apply them."""
 
+import socket
 import threading
 import time
 
@@ -10,6 +11,8 @@
 from vanillapitch_core.tables import WhenZonesOut
 from vanillapitch_daemon.calls import CallerRequest
 from vanillapitch_daemon.ingress import Quarantine
+from vanillapitch_daemon.owner import Cancellation
+from vanillapitch_wire.dispatch import DispatchRequest
 
 
 def send(daemon, method="GET", path="/", **options):
@@ -90,6 +93,33 @@
     assert send(daemon).data == str(restarted.server_port).encode()
 
 
+def test_request_that_was_given_up_does_not_run(make_backend, make_daemons):
+    # Guards against stale work after a pause of the owner: the request waited in a
+    # socket while its ingress gave up.
+    backend = make_backend()
+    (daemon,) = make_daemons(backend.server_port)
+    ours, theirs = socket.socketpair()
+    theirs.close()
+    request = DispatchRequest(
+        request_id="r1",
+        pool="catalog",
+        method="GET",
+        target="/",
+        headers=[],
+        body=b"",
+        remaining_ms=5_000,
+        attempt=1,
+        priority=5,
+        idempotent=True,
+        revision=1,
+    )
+    with ours:
+        reply = daemon.owner.dispatch(request, Cancellation(sock=ours))
+    assert (reply.refusal_code, reply.outcome) == ("cancelled", "not_run")
+    assert backend.requests == []
+    assert send(daemon).status == 200
+
+
 def make_request(path="/poison"):
     return CallerRequest(
         request_id="r1",
