--- a/packages/vanillapitch-core/src/vanillapitch_core/picking/_estimate.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_estimate.py
@@ -5,6 +5,7 @@
 from vanillapitch_core.picking._state import Endpoint, Service
 
 __all__ = [
+    "SLOW_FACTOR",
     "baseline_latency_ms",
     "estimate_failures",
     "estimate_latency_ms",
@@ -16,9 +17,11 @@
 LATENCY_WEIGHT = 0.1
 # An overdue call says more than an answer, and its effect ends with the call.
 OVERDUE_WEIGHT = 0.3
-# Good answers of an endpoint that lost its work come only with trial requests, so
-# each of them counts for more.
-RECOVERY_WEIGHT = 0.5
+# Answers of an endpoint that lost its work come only with trial requests, so each of
+# them counts for more.
+TRIAL_WEIGHT = 0.5
+# Below this factor, differences in latency are taken for noise.
+SLOW_FACTOR = 1.5
 # One slow answer, such as a large upload, must not drive away all work: at 10 times
 # the estimate it raises the estimate to 1.9 times.
 MAX_SAMPLE_FACTOR = 10.0
@@ -29,7 +32,7 @@
 
 
 def record_latency_sample(
-    endpoint: Endpoint, *, latency_ms: float, baseline_ms: float, now_ms: float
+    endpoint: Endpoint, *, latency_ms: float, baseline_ms: float
 ) -> None:
     """Take the latency of an answer into the moving average.
 
@@ -41,18 +44,15 @@
         The latency.
     baseline_ms : float
         Typical latency of the service; 0 when not known.
-    now_ms : float
-        Current time in milliseconds.
     """
-    endpoint.latency_at_ms = now_ms
     if endpoint.latency_ms == 0.0:
         endpoint.latency_ms = max(latency_ms, 1e-3)
         return
     sample_ms = min(latency_ms, endpoint.latency_ms * MAX_SAMPLE_FACTOR)
-    recovering = sample_ms < endpoint.latency_ms and endpoint.latency_ms > (
-        1.5 * baseline_ms
-    )
-    weight = RECOVERY_WEIGHT if recovering else LATENCY_WEIGHT
+    is_slow = endpoint.latency_ms > SLOW_FACTOR * baseline_ms
+    endpoint.recovering = is_slow and latency_ms <= SLOW_FACTOR * baseline_ms
+    is_telling = sample_ms < endpoint.latency_ms or sample_ms > 3 * baseline_ms
+    weight = TRIAL_WEIGHT if is_slow and is_telling else LATENCY_WEIGHT
     endpoint.latency_ms += weight * (sample_ms - endpoint.latency_ms)
 
 
--- a/packages/vanillapitch-core/src/vanillapitch_core/picking/_events.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_events.py
@@ -241,9 +241,7 @@
     if result is CallResult.ANSWERED or (
         result in _LOWER_BOUNDS and latency_ms > endpoint.latency_ms > 0.0
     ):
-        record_latency_sample(
-            endpoint, latency_ms=latency_ms, baseline_ms=baseline_ms, now_ms=now_ms
-        )
+        record_latency_sample(endpoint, latency_ms=latency_ms, baseline_ms=baseline_ms)
 
 
 def classify_refusal(code: RefusalCode) -> CallResult:
--- a/packages/vanillapitch-core/src/vanillapitch_core/picking/_policies.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_policies.py
@@ -6,6 +6,7 @@
 
 from vanillapitch_core import health
 from vanillapitch_core.picking._estimate import (
+    SLOW_FACTOR,
     baseline_latency_ms,
     estimate_failures,
     estimate_latency_ms,
@@ -35,12 +36,10 @@
 FAILURE_WEIGHT = 10.0
 OTHER_ZONE_COST = 0.1
 OTHER_REGION_COST = 1.0
-# Below this factor, differences in latency are taken for noise.
-SLOW_FACTOR = 1.5
 
-# One trial request in 200 keeps a straggler's share below the 1% that p99 ignores.
-MAX_TRIAL_SPACING = 200
-TRIAL_SPACING_OF_SLIGHTLY_SLOW = 10
+# One trial request in 400 keeps a straggler well below the 1% that p99 ignores.
+MAX_TRIAL_SPACING = 400
+MIN_TRIAL_SPACING = 10
 # A cold endpoint needs answers to warm up, also while the others have room.
 TRIAL_SPACING_OF_COLD = 20
 # With little traffic, time takes the place of the count.
@@ -194,9 +193,8 @@
         return False
     if selection.now_ms - endpoint.last_pick_at_ms >= TRIAL_AFTER_MS:
         return True
-    ratio = endpoint.latency_ms / baseline_ms
-    spacing = min(MAX_TRIAL_SPACING, TRIAL_SPACING_OF_SLIGHTLY_SLOW * ratio**2)
-    return waited_picks >= spacing
+    ratio = 1.0 if endpoint.recovering else endpoint.latency_ms / baseline_ms
+    return waited_picks >= min(MAX_TRIAL_SPACING, MIN_TRIAL_SPACING * ratio**2)
 
 
 def _is_cold(endpoint: Endpoint) -> bool:
--- a/packages/vanillapitch-core/src/vanillapitch_core/picking/_state.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_state.py
@@ -94,6 +94,8 @@
         Requests of other ingresses according to the last report.
     latency_ms : float
         Moving average of the latency; 0 before the first answer.
+    recovering : bool
+        Whether its last answer was fast although the average is slow.
     failure_share : float
         Moving average of failures, from 0 to 1.
     avoid_until_ms : float
@@ -117,7 +119,7 @@
     report_at_ms: float = 0.0
     others_in_flight: int = 0
     latency_ms: float = 0.0
-    latency_at_ms: float = 0.0
+    recovering: bool = False
     failure_share: float = 0.0
     failure_at_ms: float = 0.0
     avoid_until_ms: float = 0.0
