--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -6,9 +6,12 @@
 import pykka
 from vanillapitch_core import Clock
 from vanillapitch_core.probes import ProbeBudget
+from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
+from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
+from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
@@ -67,6 +70,10 @@
         Strikes of crashing requests.
     prober : Prober
         Probes of the backend server.
+    store : EtcdGatewayStore
+        Client of the platform's store.
+    fleet : Fleet
+        Membership and configuration.
     """
 
     endpoint: Endpoint
@@ -81,6 +88,8 @@
     backend: BackendClient
     quarantine: Quarantine
     prober: Prober
+    store: EtcdGatewayStore
+    fleet: Fleet
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -138,6 +147,19 @@
     transport = Transport(
         cluster_key=cluster_key, max_frame_bytes=max_frame_bytes, clock=clock
     )
+    store = EtcdGatewayStore(
+        addresses=settings.platform.addresses,
+        timeout_ms=settings.platform.timeout_ms,
+        clock=clock,
+    )
+    fleet = build_fleet(
+        settings,
+        instance=endpoint.instance,
+        store=store,
+        transport=transport,
+        snapshot=snapshot,
+        clock=clock,
+    )
     attempt = make_attempter(
         picker=picker,
         transport=transport,
@@ -165,7 +187,8 @@
         address=endpoint.address,
         cluster_key=cluster_key,
         processors_by_service={
-            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
+            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
+            PEERS_SERVICE: PeersProcessor(fleet.handler),
         },
         max_frame_bytes=max_frame_bytes,
         worker_threads=settings.backend.slots + PEER_CALL_THREADS,
@@ -191,6 +214,8 @@
         backend=backend,
         quarantine=quarantine,
         prober=prober,
+        store=store,
+        fleet=fleet,
     )
 
 
