--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -68,6 +68,8 @@
         Thrift towards other daemons.
     transport : Transport
         Connections to other daemons.
+    owner : Owner
+        Runs requests on the backend server.
     backend : BackendClient
         Connections to the backend server.
     quarantine : Quarantine
@@ -94,6 +96,7 @@
     callers: CallerServer
     peers: Server
     transport: Transport
+    owner: Owner
     backend: BackendClient
     quarantine: Quarantine
     prober: Prober
@@ -234,6 +237,7 @@
         callers=callers,
         peers=peers,
         transport=transport,
+        owner=owner,
         backend=backend,
         quarantine=quarantine,
         prober=prober,
