--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,21 +5,32 @@
 
 import pykka
 from vanillapitch_core import Clock
+from vanillapitch_core.probes import ProbeBudget
 from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
+from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
 from vanillapitch_daemon.claims import ClaimsPart, build_claims
+from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
+    Quarantine,
     make_application,
     make_attempter,
     make_claimer,
+    make_quarantine_check,
     make_retrier,
 )
-from vanillapitch_daemon.owner import Admission, BackendClient, Owner, OwnerHandler
+from vanillapitch_daemon.owner import (
+    Admission,
+    BackendClient,
+    Owner,
+    OwnerHandler,
+    Prober,
+)
 from vanillapitch_daemon.picker import Endpoint, Picker
 from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
@@ -31,6 +42,9 @@
 FRAME_OVERHEAD_BYTES = 1_048_576
 # A claim is read back within the time of one claim, see `vanillapitch_daemon.claims`.
 READ_BACK_TIMEOUT_MS = 500
+# Threads beside those that wait for the backend server: refusals and calls between
+# daemons go on while every slot is taken.
+PEER_CALL_THREADS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +57,8 @@
         This daemon's own endpoint.
     snapshot : TablesSnapshot
         Tables in force.
+    load : LoadSnapshot
+        Load of this daemon's endpoint.
     picker, admission : pykka.ActorRef
         The actors on the request path.
     callers : CallerServer
@@ -55,10 +71,19 @@
         Connections to the backend server.
     claims : ClaimsPart
         Claims of keyed requests.
+    quarantine : Quarantine
+        Strikes of crashing requests.
+    prober : Prober
+        Probes of the backend server.
+    store : EtcdGatewayStore
+        Client of the platform's store.
+    fleet : Fleet
+        Membership and configuration.
     """
 
     endpoint: Endpoint
     snapshot: TablesSnapshot
+    load: LoadSnapshot
     picker: pykka.ActorRef
     admission: pykka.ActorRef
     callers: CallerServer
@@ -66,6 +91,10 @@
     transport: Transport
     backend: BackendClient
     claims: ClaimsPart
+    quarantine: Quarantine
+    prober: Prober
+    store: EtcdGatewayStore
+    fleet: Fleet
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -89,14 +118,22 @@
         address=(settings.listen.peers.host, settings.listen.peers.port),
         service=settings.backend.service,
         zone=settings.instance.zone,
+        region=settings.instance.region,
     )
     cluster_key = settings.secrets.cluster_key.encode()
     max_frame_bytes = limits.max_body_bytes + FRAME_OVERHEAD_BYTES
     snapshot = TablesSnapshot()
     load = LoadSnapshot()
-    picker = Picker.start(snapshot=snapshot, random_source=random.Random())
+    picker = Picker.start(
+        own=endpoint, snapshot=snapshot, clock=clock, random_source=random.Random()
+    )
     admission = Admission.start(
-        slots=settings.backend.slots, load=load, snapshot=snapshot
+        slots=settings.backend.slots,
+        connections=settings.backend.connections,
+        zone=endpoint.zone,
+        load=load,
+        snapshot=snapshot,
+        clock=clock,
     )
     backend = BackendClient(
         address=(settings.backend.address.host, settings.backend.address.port),
@@ -106,7 +143,6 @@
     )
     owner = Owner(
         instance=endpoint.instance,
-        zone=endpoint.zone,
         admission=admission,
         backend=backend,
         load=load,
@@ -116,6 +152,19 @@
     transport = Transport(
         cluster_key=cluster_key, max_frame_bytes=max_frame_bytes, clock=clock
     )
+    store = EtcdGatewayStore(
+        addresses=settings.platform.addresses,
+        timeout_ms=settings.platform.timeout_ms,
+        clock=clock,
+    )
+    fleet = build_fleet(
+        settings,
+        instance=endpoint.instance,
+        store=store,
+        transport=transport,
+        snapshot=snapshot,
+        clock=clock,
+    )
     attempt = make_attempter(
         picker=picker,
         transport=transport,
@@ -126,15 +175,21 @@
     claims = _build_claims(
         settings.platform,
         instance=endpoint.instance,
+        store=store,
         transport=transport,
         clock=clock,
     )
-    run_attempts = make_claimer(
-        run_attempts=make_retrier(attempt=attempt, clock=clock), gate=claims.gate
+    quarantine = Quarantine(clock=clock)
+    run_attempts = make_retrier(
+        attempt=attempt, clock=clock, record_crash=quarantine.record_crash
     )
+    run_claimed = make_claimer(run_attempts=run_attempts, gate=claims.gate)
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
-        handler=make_application(snapshot=snapshot, run_attempts=run_attempts),
+        handler=make_application(
+            snapshot=snapshot,
+            run_attempts=make_quarantine_check(run=run_claimed, quarantine=quarantine),
+        ),
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
         max_header_bytes=limits.max_header_bytes,
@@ -147,12 +202,23 @@
         processors_by_service={
             OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
             CLAIMS_SERVICE: ClaimsProcessor(claims.handler),
+            PEERS_SERVICE: PeersProcessor(fleet.handler),
         },
         max_frame_bytes=max_frame_bytes,
+        worker_threads=settings.backend.slots + PEER_CALL_THREADS,
+    )
+    prober = _build_prober(
+        settings,
+        admission=admission,
+        backend=backend,
+        load=load,
+        owner=owner,
+        clock=clock,
     )
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
+        load=load,
         picker=picker,
         admission=admission,
         callers=callers,
@@ -160,23 +226,56 @@
         transport=transport,
         backend=backend,
         claims=claims,
+        quarantine=quarantine,
+        prober=prober,
+        store=store,
+        fleet=fleet,
     )
 
 
 def _build_claims(
-    platform: PlatformSettings, *, instance: str, transport: Transport, clock: Clock
+    platform: PlatformSettings,
+    *,
+    instance: str,
+    store: EtcdGatewayStore,
+    transport: Transport,
+    clock: Clock,
 ) -> ClaimsPart:
-    addresses = [str(address) for address in platform.addresses]
     read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
+    reading_store = EtcdGatewayStore(
+        addresses=platform.addresses, timeout_ms=read_timeout_ms, clock=clock
+    )
     return build_claims(
         instance=instance,
-        writing_store=EtcdGatewayStore(
-            addresses=addresses, timeout_ms=platform.timeout_ms, clock=clock
-        ),
-        reading_store=EtcdGatewayStore(
-            addresses=addresses, timeout_ms=read_timeout_ms, clock=clock
-        ),
+        writing_store=store,
+        reading_store=reading_store,
         read_timeout_ms=read_timeout_ms,
         transport=transport,
         clock=clock,
     )
+
+
+def _build_prober(
+    settings: Settings,
+    *,
+    admission: pykka.ActorRef,
+    backend: BackendClient,
+    load: LoadSnapshot,
+    owner: Owner,
+    clock: Clock,
+) -> Prober:
+    budget = ProbeBudget(
+        slots=settings.backend.slots,
+        budget_percent=settings.limits.probe_budget_percent,
+        started_at_ms=clock.now_ms(),
+    )
+    return Prober(
+        admission=admission,
+        backend=backend,
+        load=load,
+        budget=budget,
+        health_path=settings.backend.health_path,
+        last_answer_at_ms=lambda: owner.last_answer_at_ms,
+        on_probe=lambda healthy, duration_ms: None,
+        clock=clock,
+    )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_part.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_part.py
@@ -1,7 +1,7 @@
 """Wiring of the daemon's claims."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import pykka
 from vanillapitch_core import Clock
@@ -45,17 +45,6 @@
     committer: pykka.ActorRef
     holder: pykka.ActorRef
 
-    def set_members(self, instances: Iterable[str]) -> None:
-        """Choose committers anew.
-
-        Parameters
-        ----------
-        instances : iterable of str
-            Names of the live members; this daemon is added.
-        """
-        shard_count = self.routes.set_members(instances)
-        self.committer.tell(ShardsChanged(shard_count=shard_count))
-
     def stop(self, timeout_ms: float) -> bool:
         """Record the ends of all claims and stop.
 
@@ -119,7 +108,12 @@
         instance=instance, committer=committer, holder=holder, clock=clock
     )
     peers = ClaimsPeers(local=local, transport=transport, clock=clock)
-    routes = CommitRoutes(instance=instance, peers=peers)
+    routes = CommitRoutes(
+        instance=instance,
+        peers=peers,
+        clock=clock,
+        on_shard_count=lambda count: committer.tell(ShardsChanged(shard_count=count)),
+    )
     recorder = Recorder(
         routes=routes, holder=holder, clock=clock, count_event=count_event
     )
@@ -141,13 +135,11 @@
         clock=clock,
         count_event=count_event,
     )
-    part = ClaimsPart(
+    return ClaimsPart(
         gate=gate,
-        handler=ClaimsHandler(local=local, clock=clock),
+        handler=ClaimsHandler(local=local, refresh=routes.refresh, clock=clock),
         routes=routes,
         recorder=recorder,
         committer=committer,
         holder=holder,
     )
-    part.set_members([instance])
-    return part
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_peers.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_peers.py
@@ -1,7 +1,9 @@
 """Calls about claims to this daemon or to its peers."""
 
 import concurrent.futures
-from collections.abc import Sequence
+import threading
+import time
+from collections.abc import Callable, Sequence
 
 import msgspec
 import pykka
@@ -45,6 +47,13 @@
 # Bounds the threads that second senders occupy at a holder, whatever they ask for.
 MAX_WAIT_MS = 10_000
 MAX_COMMIT_MS = 10_000
+# Calls that wait occupy threads that also serve other calls of peers. A committer that
+# is busy is passed over, and a second sender that finds no place asks again.
+MAX_COMMIT_CALLS = 8
+MAX_AWAIT_CALLS = 4
+# The holder's actor answers at once what it knows; this covers its queue.
+STATEMENT_MS = 100
+ASK_AGAIN_MS = 50.0
 
 HolderStatement = HolderRunning | HolderResult | HolderNotRun | HolderGone
 
@@ -158,6 +167,8 @@
             remaining_ms=remaining_ms,
         )
         reply = self._call(instance, "commit_claims", request, deadline_ms)
+        if reply.is_busy:
+            raise PeerNotReached(f"{instance}: the committer is busy")
         try:
             outcomes = [_outcome_of(message) for message in reply.outcomes]
         except ValueError as error:
@@ -188,6 +199,15 @@
         """
         if instance == self._local.instance:
             return self._local.await_end(claim_id, deadline_ms)
+        while True:
+            statement = self._ask(instance, claim_id, deadline_ms)
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if not isinstance(statement, HolderRunning) or remaining_ms <= 0:
+                return statement
+            # The holder had no place to wait.
+            time.sleep(min(ASK_AGAIN_MS, remaining_ms) / 1000)
+
+    def _ask(self, instance: str, claim_id: str, deadline_ms: float) -> HolderStatement:
         wait_ms = int(deadline_ms - self._clock.now_ms() - REPLY_GRACE_MS)
         request = AwaitRequest(
             holder=instance, claim_id=claim_id, wait_ms=max(0, wait_ms)
@@ -226,16 +246,32 @@
     ----------
     local : LocalClaims
         This daemon's own part.
+    refresh : callable
+        Brings this daemon's share of the shards up to date.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, *, local: LocalClaims, clock: Clock):
+    def __init__(
+        self, *, local: LocalClaims, refresh: Callable[[], object], clock: Clock
+    ):
         self._local = local
+        self._refresh = refresh
         self._clock = clock
+        self._commit_slots = threading.BoundedSemaphore(MAX_COMMIT_CALLS)
+        self._await_slots = threading.BoundedSemaphore(MAX_AWAIT_CALLS)
 
     def commit_claims(self, request: CommitRequest) -> CommitReply:
         """Commit changes for a peer."""
+        if not self._commit_slots.acquire(blocking=False):
+            return CommitReply(is_busy=True, outcomes=[])
+        try:
+            return self._commit(request)
+        finally:
+            self._commit_slots.release()
+
+    def _commit(self, request: CommitRequest) -> CommitReply:
+        self._refresh()
         changes = [_change_of(message) for message in request.changes]
         remaining_ms = min(request.remaining_ms, MAX_COMMIT_MS)
         deadline_ms = self._clock.now_ms() + remaining_ms
@@ -247,20 +283,29 @@
         except PeerAnswerLost:
             outcomes = [ChangeOutcome(status=ChangeStatus.LOST)] * len(changes)
         return CommitReply(
+            is_busy=False,
             outcomes=[
                 ChangeOutcomeMessage(
                     status=outcome.status.value, current=outcome.current
                 )
                 for outcome in outcomes
-            ]
+            ],
         )
 
     def await_result(self, request: AwaitRequest) -> AwaitReply:
         """Wait for the end of a claim of this daemon."""
         if request.holder != self._local.instance:
             return AwaitReply(statement="gone", state="")
-        wait_ms = min(request.wait_ms, MAX_WAIT_MS)
-        deadline_ms = self._clock.now_ms() + wait_ms
+        if not self._await_slots.acquire(blocking=False):
+            return self._statement(request, wait_ms=0)
+        try:
+            return self._statement(request, wait_ms=request.wait_ms)
+        finally:
+            self._await_slots.release()
+
+    def _statement(self, request: AwaitRequest, *, wait_ms: int) -> AwaitReply:
+        wait_ms = min(wait_ms, MAX_WAIT_MS)
+        deadline_ms = self._clock.now_ms() + max(STATEMENT_MS, wait_ms)
         statement = self._local.await_end(request.claim_id, deadline_ms)
         match statement:
             case HolderResult():
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -6,10 +6,14 @@
 import signal
 import sys
 import threading
+import time
 
 from vanillapitch_core import SystemClock
+from vanillapitch_core.membership import MemberChanged, MemberState, StrikeHeard
 
 from vanillapitch_daemon.assembly import Daemon, build_daemon
+from vanillapitch_daemon.claims import make_claims_feed
+from vanillapitch_daemon.membership import make_picker_feed
 from vanillapitch_daemon.owner import SetState
 from vanillapitch_daemon.picker import EndpointChanged
 from vanillapitch_daemon.settings import Settings, SettingsError, load_settings
@@ -21,6 +25,9 @@
 # Bound on writing the results of claims after the last answer; a result that the store
 # does not take leaves a claim whose later senders are answered `outcome_unknown`.
 RECORD_TIMEOUT_MS = 5_000
+# Peers that have not heard that this daemon leaves still send calls, which must be
+# refused and not cut off; one such silence shows that they have heard.
+PEERS_QUIET_S = 1.0
 
 _log = logging.getLogger("vanillapitch.main")
 
@@ -83,7 +90,15 @@
     """
     daemon.picker.tell(EndpointChanged(endpoint=daemon.endpoint))
     daemon.peers.start()
+    daemon.prober.start()
     daemon.callers.start()
+    daemon.quarantine.set_share(daemon.fleet.record_strike)
+    daemon.fleet.subscribe(
+        StrikeHeard, lambda effect: daemon.quarantine.hear(effect.strike)
+    )
+    daemon.fleet.subscribe(MemberChanged, make_claims_feed(daemon.claims.routes))
+    daemon.fleet.start(feed_picker=make_picker_feed(daemon.picker))
+    daemon.fleet.announce(MemberState.ALIVE)
     _log.info("main: started instance=%s", daemon.endpoint.instance)
 
 
@@ -103,13 +118,20 @@
         Exit code: 0 when every request was answered and every claim recorded.
     """
     _log.info("main: draining")
+    daemon.fleet.announce(MemberState.LEAVING)
     daemon.admission.ask(SetState(state="leaving"))
     daemon.callers.drain()
+    deadline_s = time.monotonic() + drain_timeout_ms / 1000
     drained = daemon.callers.wait_until_drained(drain_timeout_ms / 1000)
+    remaining_s = max(0.0, deadline_s - time.monotonic())
+    drained = daemon.peers.wait_until_quiet(PEERS_QUIET_S, remaining_s) and drained
     recorded = daemon.claims.stop(RECORD_TIMEOUT_MS)
+    daemon.prober.stop()
+    daemon.fleet.stop()
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
+    daemon.store.close()
     daemon.picker.stop()
     daemon.admission.stop()
     _log.info("main: stopped drained=%s recorded=%s", drained, recorded)
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -3,9 +3,11 @@
 import http.server
 import socket
 import threading
+import time
 
 import msgspec
 import pytest
+import urllib3
 from vanillapitch_core import SystemClock
 from vanillapitch_core.tables import Pool, Route, Tables
 from vanillapitch_daemon.assembly import build_daemon
@@ -49,14 +51,22 @@
         """Keep the output of tests free of access logs."""
 
 
+class QuietServer(http.server.ThreadingHTTPServer):
+    """Does not print when a cancelled request's connection is gone."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """Keep the output of tests free of expected errors."""
+
+
 @pytest.fixture
 def make_backend():
     """Start backend servers; ``behave`` is called before each answer."""
     servers = []
 
-    def make(behave=lambda handler: None):
-        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), RecordingHandler)
-        server.daemon_threads = True
+    def make(behave=lambda handler: None, port=0):
+        server = QuietServer(("127.0.0.1", port), RecordingHandler)
         server.requests = []
         server.behave = behave
         threading.Thread(target=server.serve_forever, daemon=True).start()
@@ -122,7 +132,7 @@
             start_daemon(daemon)
             for other in daemons:
                 daemon.picker.tell(EndpointChanged(endpoint=other.endpoint))
-            daemon.claims.set_members(other.endpoint.instance for other in daemons)
+                daemon.claims.routes.note_member(other.endpoint.instance, is_live=True)
         started.extend(daemons)
         return daemons
 
@@ -156,6 +166,7 @@
         self.server = Server(
             address=("127.0.0.1", port),
             processors_by_service={CLAIMS_SERVICE: processor},
+            worker_threads=16,
             **options,
         )
         self.server.start()
@@ -183,10 +194,25 @@
     def make(count):
         nodes = [ClaimsNode(store_process.address) for _ in range(count)]
         for node in nodes:
-            node.part.set_members(each.instance for each in nodes)
+            for other in nodes:
+                node.part.routes.note_member(other.instance, is_live=True)
         started.extend(nodes)
         return nodes
 
     yield make
     for node in started:
         node.die()
+
+
+@pytest.fixture
+def warm_up():
+    """Send requests until an endpoint has left its cold start."""
+
+    def warm(daemon):
+        deadline_s = time.monotonic() + 10
+        url = f"http://127.0.0.1:{daemon.callers.port}/"
+        while daemon.load.current.state != "ready":
+            assert time.monotonic() < deadline_s
+            assert urllib3.request("GET", url, retries=False, timeout=5).status == 200
+
+    return warm
--- a/packages/vanillapitch-daemon/tests/test_claims_faults.py
+++ b/packages/vanillapitch-daemon/tests/test_claims_faults.py
@@ -121,9 +121,7 @@
 
 def test_different_views_of_the_members_do_not_grant_a_key_twice(make_nodes, key):
     # Guards against safety that rests on the choice of the committer.
-    nodes = make_nodes(3)
-    for node in nodes:
-        node.part.set_members([node.instance])
+    nodes = make_nodes(1) + make_nodes(1) + make_nodes(1)
     begun = [node.begin(key, timeout_ms=300) for node in nodes]
     assert sum(isinstance(each, Claim) for each in begun) == 1
 
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/__init__.py
@@ -6,10 +6,13 @@
     CallTimedOut,
     ConnectFailed,
     ConnectionLost,
+    GossipMalformed,
+    GossipRejected,
     HandshakeFailed,
     SendFailed,
     WireError,
 )
+from vanillapitch_wire.readiness import ReadinessPool
 from vanillapitch_wire.server import Server, current_socket
 
 __all__ = [
@@ -18,7 +21,10 @@
     "ConnectFailed",
     "Connection",
     "ConnectionLost",
+    "GossipMalformed",
+    "GossipRejected",
     "HandshakeFailed",
+    "ReadinessPool",
     "SendFailed",
     "Server",
     "WireError",
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/claims/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/claims/ttypes.py
@@ -308,16 +308,19 @@
 class CommitReply(object):
     """
     Attributes:
+     - is_busy
      - outcomes
 
     """
 
     __slots__ = (
+        'is_busy',
         'outcomes',
     )
 
 
-    def __init__(self, outcomes=None,):
+    def __init__(self, is_busy=None, outcomes=None,):
+        self.is_busy = is_busy
         self.outcomes = outcomes
 
     def read(self, iprot):
@@ -330,6 +333,11 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_busy = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.LIST:
                     self.outcomes = []
                     (_etype10, _size7) = iprot.readListBegin()
@@ -350,8 +358,12 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('CommitReply')
+        if self.is_busy is not None:
+            oprot.writeFieldBegin('is_busy', TType.BOOL, 1)
+            oprot.writeBool(self.is_busy)
+            oprot.writeFieldEnd()
         if self.outcomes is not None:
-            oprot.writeFieldBegin('outcomes', TType.LIST, 1)
+            oprot.writeFieldBegin('outcomes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
             for iter13 in self.outcomes:
                 iter13.write(oprot)
@@ -361,6 +373,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.is_busy is None:
+            raise TProtocolException(message='Required field is_busy is unset!')
         if self.outcomes is None:
             raise TProtocolException(message='Required field outcomes is unset!')
         return
@@ -599,7 +613,8 @@
 all_structs.append(CommitReply)
 CommitReply.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'outcomes', (TType.STRUCT, [ChangeOutcomeMessage, None], False), None, ),  # 1
+    (1, TType.BOOL, 'is_busy', None, None, ),  # 1
+    (2, TType.LIST, 'outcomes', (TType.STRUCT, [ChangeOutcomeMessage, None], False), None, ),  # 2
 )
 all_structs.append(AwaitRequest)
 AwaitRequest.thrift_spec = (
