--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/upkeep.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/upkeep.py
@@ -4,61 +4,13 @@
 import threading
 from collections.abc import Callable, Iterable
 
-from vanillapitch_core.membership import MemberChanged, MemberState
-
-__all__ = ["LiveMembers", "Upkeep"]
+__all__ = ["Upkeep"]
 
 INTERVAL_S = 1.0
 
-_LIVE_STATES = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
-
 _log = logging.getLogger("vanillapitch.upkeep")
 
 
-class LiveMembers:
-    """Collects the live members and hands them on at most once an interval.
-
-    Choosing committers hashes every member for every shard, which would cost
-    seconds if it were done for each of hundreds of members that join at once.
-
-    Parameters
-    ----------
-    publish : callable
-        Takes the names of the live members.
-    """
-
-    def __init__(self, *, publish: Callable[[Iterable[str]], None]):
-        self._publish = publish
-        self._lock = threading.Lock()
-        self._instances: set[str] = set()
-        self._changed = False
-
-    def hear(self, effect: MemberChanged) -> None:
-        """Take a change of a member.
-
-        Parameters
-        ----------
-        effect : MemberChanged
-            The change.
-        """
-        record = effect.record
-        with self._lock:
-            if record.state in _LIVE_STATES:
-                self._instances.add(record.instance)
-            else:
-                self._instances.discard(record.instance)
-            self._changed = True
-
-    def publish_changes(self) -> None:
-        """Hand the live members on if they changed since the last call."""
-        with self._lock:
-            if not self._changed:
-                return
-            self._changed = False
-            instances = frozenset(self._instances)
-        self._publish(instances)
-
-
 class Upkeep:
     """Runs tasks once an interval on one thread.
 
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -132,7 +132,7 @@
             start_daemon(daemon)
             for other in daemons:
                 daemon.picker.tell(EndpointChanged(endpoint=other.endpoint))
-            daemon.claims.set_members(other.endpoint.instance for other in daemons)
+                daemon.claims.routes.note_member(other.endpoint.instance, is_live=True)
         started.extend(daemons)
         return daemons
 
@@ -143,20 +143,6 @@
         stop_daemon(daemon, drain_timeout_ms=DRAIN_TIMEOUT_MS)
 
 
-@pytest.fixture
-def warm_up():
-    """Send requests until an endpoint has left its cold start."""
-
-    def warm(daemon):
-        deadline_s = time.monotonic() + 10
-        url = f"http://127.0.0.1:{daemon.callers.port}/"
-        while daemon.load.current.state != "ready":
-            assert time.monotonic() < deadline_s
-            assert urllib3.request("GET", url, retries=False, timeout=5).status == 200
-
-    return warm
-
-
 class ClaimsNode:
     """The claims of one daemon behind its inner address."""
 
@@ -180,7 +166,7 @@
         self.server = Server(
             address=("127.0.0.1", port),
             processors_by_service={CLAIMS_SERVICE: processor},
-            worker_threads=8,
+            worker_threads=16,
             **options,
         )
         self.server.start()
@@ -208,10 +194,25 @@
     def make(count):
         nodes = [ClaimsNode(store_process.address) for _ in range(count)]
         for node in nodes:
-            node.part.set_members(each.instance for each in nodes)
+            for other in nodes:
+                node.part.routes.note_member(other.instance, is_live=True)
         started.extend(nodes)
         return nodes
 
     yield make
     for node in started:
         node.die()
+
+
+@pytest.fixture
+def warm_up():
+    """Send requests until an endpoint has left its cold start."""
+
+    def warm(daemon):
+        deadline_s = time.monotonic() + 10
+        url = f"http://127.0.0.1:{daemon.callers.port}/"
+        while daemon.load.current.state != "ready":
+            assert time.monotonic() < deadline_s
+            assert urllib3.request("GET", url, retries=False, timeout=5).status == 200
+
+    return warm
