--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_sync.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_sync.py
@@ -72,6 +72,8 @@
         except Exception:
             _log.exception("Exchange failed", peer=message.peer_address)
         self._membership.tell(NoteSyncEnd(is_complete=is_complete))
+        # Exchanges go to a random peer each time and would leave a connection to all.
+        self._transport.close_idle()
 
     def _exchange(self, peer_address: str) -> bool:
         digests = self._membership.ask(GetDigests())
