--- /dev/null
+++ b/packages/vanillapitch-core/src/vanillapitch_core/admission/__init__.py
@@ -0,0 +1,49 @@
+"""Admission at the owner of an endpoint.
+
+Only the owner knows the exact number of requests in flight, so the bound is exact with
+any number of ingresses and without coordination.
+"""
+
+from vanillapitch_core.admission._decide import (
+    admit,
+    begin_cold_start,
+    begin_leaving,
+    cancel_waiter,
+    end_leaving,
+    expire_waiters,
+    release,
+    set_backend_down,
+    set_zone_in_service,
+)
+from vanillapitch_core.admission._state import (
+    DEFAULT_MAX_WAIT_MS,
+    AdmissionRequest,
+    AdmissionState,
+    AnswerKind,
+    Decision,
+    TicketDecision,
+    count_in_flight,
+    current_limit,
+    report_state,
+)
+
+__all__ = [
+    "DEFAULT_MAX_WAIT_MS",
+    "AdmissionRequest",
+    "AdmissionState",
+    "AnswerKind",
+    "Decision",
+    "TicketDecision",
+    "admit",
+    "begin_cold_start",
+    "begin_leaving",
+    "cancel_waiter",
+    "count_in_flight",
+    "current_limit",
+    "end_leaving",
+    "expire_waiters",
+    "release",
+    "report_state",
+    "set_backend_down",
+    "set_zone_in_service",
+]
