Spread strikes whose id holds an instance and a request id

Strike ids are 'instance/request id', so that a strike takes 132 characters and more; the limit of 128 dropped every one. The limit is now 256, and the test uses the longest form with an IPv6 address.

--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_merge.py
@@ -35,8 +35,9 @@
 
 # Time after the start in which a higher incarnation belongs to a predecessor.
 _RENEWAL_MS = 60_000.0
-# Two SHA-256 digests in hexadecimal; a longer strike would leave no room in a message.
-_MAX_STRIKE_CHARACTERS = 128
+# A SHA-256 digest in hexadecimal, an instance with an IPv6 address and a request id
+# take at most 165; a much longer strike would leave no room in a message.
+_MAX_STRIKE_CHARACTERS = 256
 _URGENT_STATES = frozenset({MemberState.LEAVING, MemberState.LEFT})
 
 
--- a/packages/vanillapitch-daemon/tests/test_fleet.py
+++ b/packages/vanillapitch-daemon/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import uuid
 
 import msgspec
 import pytest
@@ -249,7 +250,9 @@
         item.daemon.fleet.subscribe(
             StrikeHeard, lambda effect: heard.append(effect.strike)
         )
-    strike = Strike(fingerprint="f" * 64, strike_id="s" * 32, at_ms=1)
+    instance = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535/1700000000000"
+    strike_id = f"{instance}/{uuid.uuid4()}"
+    strike = Strike(fingerprint="f" * 64, strike_id=strike_id, at_ms=1)
     daemons[0].daemon.fleet.record_strike(strike)
     assert wait_until(lambda: heard == [strike, strike], STRIKE_BOUND_S)
 
