--- a/packages/vanillapitch-daemon/tests/test_fleet.py
+++ b/packages/vanillapitch-daemon/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Failure tests of membership and configuration over loopback sockets."""
 
+import concurrent.futures
 import socket
 import time
 import uuid
@@ -9,18 +10,22 @@
 import urllib3
 from vanillapitch_core import ManualClock, SystemClock
 from vanillapitch_core.membership import (
+    MemberChanged,
+    MemberRecord,
     MemberState,
     Message,
     MessageKind,
     Strike,
     StrikeHeard,
 )
-from vanillapitch_core.tables import Pool, Route
+from vanillapitch_core.tables import Pool, Route, Tables, encode_tables
 from vanillapitch_daemon.admin import ChangeStatus, TablesChange, ZoneChange
 from vanillapitch_daemon.assembly import build_daemon
+from vanillapitch_daemon.configuration import TABLES_KEY, make_watcher_choice
 from vanillapitch_daemon.main import start_daemon, stop_daemon
 from vanillapitch_daemon.membership import GetMembers, GossipSocket, NullMeter
 from vanillapitch_daemon.settings import PlatformSettings, SecretsSettings
+from vanillapitch_platform import EtcdGatewayStore, Put
 from vanillapitch_testbed.store import StoreProcess
 from vanillapitch_wire.gossip import encode_message
 
@@ -213,6 +218,31 @@
     assert [tables.revision for tables in single.admin.history(limit=5)] == [1]
 
 
+def test_racing_operators_are_told_the_truth(start_fleet, own_store_process):
+    # Guards against two accepted changes of one base, or a conflict that took effect,
+    # while the store loses answers.
+    daemons = start_fleet(2, store_address=own_store_process.address)
+    own_store_process.set_faults(lose_probability=0.4, seed=5)
+    accepted_ids = []
+    with concurrent.futures.ThreadPoolExecutor(2) as operators:
+        for base_revision in range(12):
+            changes = [
+                tables_change(base_revision, change_id=f"{base_revision}-{name}")
+                for name in ("a", "b")
+            ]
+            results = list(
+                operators.map(
+                    lambda item, change: item.admin.apply(change), daemons, changes
+                )
+            )
+            statuses = [result.status for result in results]
+            assert sorted(statuses) == [ChangeStatus.ACCEPTED, ChangeStatus.CONFLICT]
+            winner = statuses.index(ChangeStatus.ACCEPTED)
+            accepted_ids.append(changes[winner].change_id)
+    history = daemons[0].admin.history(limit=20)
+    assert [tables.change_id for tables in reversed(history)] == accepted_ids
+
+
 def test_a_change_during_an_outage_is_refused_and_tables_stay(
     start_fleet, own_store_process
 ):
@@ -241,6 +271,49 @@
         self.drops.append(reason)
 
 
+def test_a_broken_document_does_not_hide_the_next_one(start_fleet, own_store_process):
+    # Guards against a watcher that stops at a document that somebody wrote by hand.
+    daemons = start_fleet(2, store_address=own_store_process.address)
+    assert wait_until(all_alive(daemons), 10)
+    writer = EtcdGatewayStore(addresses=[own_store_process.address], timeout_ms=500)
+    for document in (b"{", encode_tables(Tables(revision=7, change_id="seven"))):
+        writer.transact((), (Put(key=TABLES_KEY, value=document),))
+        time.sleep(0.3)
+    writer.close()
+    assert wait_until(
+        lambda: all(item.revision == 7 for item in daemons), REVISION_BOUND_S
+    )
+
+
+def test_watchers_are_replaced_when_they_leave():
+    # Guards against a zone that nobody watches the store for.
+    chosen = []
+    choose = make_watcher_choice(
+        zone="zone-a", own_address="10.0.0.1:1", set_watching=chosen.append
+    )
+
+    def change(index, state):
+        record = MemberRecord(
+            instance=f"10.0.0.{index}:1/1",
+            zone="zone-a",
+            region="north",
+            service="catalog",
+            inner_address=f"10.0.0.{index}:1",
+            gossip_address=f"10.0.0.{index}:2",
+            state=state,
+            version=1,
+            slots=1,
+        )
+        choose(MemberChanged(record=record))
+
+    for index in range(1, 11):
+        change(index, MemberState.ALIVE)
+    for index in range(2, 11):
+        change(index, MemberState.SUSPECT if index % 2 else MemberState.DEAD)
+    assert chosen[0] and chosen[-1]
+    assert not all(chosen)
+
+
 def test_a_strike_reaches_the_other_daemons(start_fleet):
     # Guards against a crashing request that finds a daemon without its quarantine.
     daemons = start_fleet(3)
