Check accepted changes and switch the store's own faults in the soak

The store stand-in has faults of its own, which reach writes that the proxy cannot tell from reads. An operator's accepted change must be in the history, or it was overwritten (I9). Not run against complete daemons yet.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
@@ -28,6 +28,7 @@
 CLUSTER_KEY = "cluster-key-of-the-testbed-0123456789"
 _RESERVATION_PORT = 7_999
 _STORE_PORT = 2_379
+_STORE_CONTROL_PORT = 2_380
 _STORE_PROXY_PORT = 12_379
 _PROXY_CONTROL_PORT = 7_000
 _FIRST_VM_HOST = 10
@@ -107,6 +108,11 @@
         """Address of the store itself."""
         return f"{self._subnet}.1:{_STORE_PORT}"
 
+    @property
+    def store_control(self) -> str:
+        """Control address of the store."""
+        return f"{self._subnet}.1:{_STORE_CONTROL_PORT}"
+
     @property
     def proxy_control(self) -> str:
         """Control address of the proxy."""
@@ -272,6 +278,20 @@
             raise FleetError(f"GET /v1/tables: {response.status}")
         return response.json()
 
+    def history(self, vm: Vm) -> list[dict]:
+        """Return the last 200 revisions, newest first.
+
+        Raises
+        ------
+        FleetError
+            If the daemon refuses.
+        """
+        path = "/v1/tables/history?limit=200"
+        response = admin_request(vm.admin, "GET", path, token=ADMIN_TOKEN)
+        if response.status != 200:
+            raise FleetError(f"GET {path}: {response.status}")
+        return response.json()["history"]
+
     def put_tables(self, vm: Vm, *, base: dict, **fields):
         """Change tables that were read before, and return the response."""
         document = {"base_revision": base["revision"]}
@@ -300,6 +320,10 @@
         """Set the faults of a proxy link; the others are switched off."""
         control_request(self.proxy_control, "PUT", f"/links/{link}", fields)
 
+    def set_store_faults(self, **fields) -> None:
+        """Set the faults of the store itself; the others are switched off."""
+        control_request(self.store_control, "PUT", "/faults", fields)
+
     def cut_link(self, link: str) -> None:
         """Reset the open connections of a proxy link."""
         control_request(self.proxy_control, "POST", f"/links/{link}/cut")
@@ -367,7 +391,8 @@
 
     def _store_command(self) -> list[str]:
         module = "vanillapitch_testbed.store"
-        return [sys.executable, "-m", module, "--listen", self.store_address]
+        command = [sys.executable, "-m", module, "--listen", self.store_address]
+        return [*command, "--control", self.store_control]
 
     def _proxy_command(self) -> list[str]:
         command = [sys.executable, "-m", "vanillapitch_testbed.proxy"]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
@@ -29,6 +29,8 @@
         Times in which backend servers must get no new work.
     subjects : set of str
         What has a fault at present.
+    accepted_change_ids : list of str
+        Changes of the tables that operators were told are accepted.
     violations : list of Violation
         Found while a fault is applied or taken back.
     """
@@ -39,6 +41,7 @@
     violations: list[Violation] = dataclasses.field(default_factory=list)
     counters_by_vm: dict[str, list[dict]] = dataclasses.field(default_factory=dict)
     subjects: set[str] = dataclasses.field(default_factory=set)
+    accepted_change_ids: list[str] = dataclasses.field(default_factory=list)
 
     def pick_vm(self, part: str) -> Vm:
         """Choose a VM whose `part` (``backend`` or ``daemon``) has no fault.
@@ -221,6 +224,20 @@
     return apply
 
 
+def _store_fault(name: str, make_fields: Callable[[random.Random], dict]):
+    def apply(context: FaultContext) -> ActiveFault:
+        context.require_free("store")
+        context.fleet.set_store_faults(**make_fields(context.choice))
+        return ActiveFault(
+            name=f"{name} store",
+            subject="store",
+            duration_s=context.choice.uniform(0.5, 6.0),
+            undo=context.fleet.set_store_faults,
+        )
+
+    return apply
+
+
 def _cut_link(context: FaultContext) -> ActiveFault:
     fleet = context.fleet
     vm = context.choice.choice([vm for vm in fleet.vms if vm.proxied])
@@ -272,9 +289,12 @@
     first, second = _running_vm(context), _running_vm(context)
     statuses: list[int] = []
     base = context.fleet.tables(first)
+    base_ms = base["routes"][0]["timeout_ms"]
     threads = [
-        threading.Thread(target=_change_timeout, args=(context, vm, base, statuses))
-        for vm in (first, second)
+        threading.Thread(
+            target=_change_timeout, args=(context, vm, base, timeout_ms, statuses)
+        )
+        for vm, timeout_ms in ((first, base_ms + 1), (second, base_ms + 2))
     ]
     for thread in threads:
         thread.start()
@@ -291,8 +311,7 @@
     )
 
 
-def _change_timeout(context: FaultContext, vm: Vm, base: dict, statuses) -> None:
-    timeout_ms = 10_000 + threading.get_ident() % 1_000
+def _change_timeout(context, vm: Vm, base: dict, timeout_ms: int, statuses) -> None:
     routes = [dict(route, timeout_ms=timeout_ms) for route in base["routes"]]
     try:
         response = context.fleet.put_tables(vm, base=base, routes=routes)
@@ -300,6 +319,8 @@
         statuses.append(0)
     else:
         statuses.append(response.status)
+        if response.status == 200:
+            context.accepted_change_ids.append(response.json()["change_id"])
 
 
 FAULTS = (
@@ -316,7 +337,11 @@
     _pause_daemon,
     _kill_daemon,
     _stop_daemon,
-    _link_fault("down", ("store",), lambda c: {"refuse": True}, longest_s=6.0),
+    _store_fault("down", lambda c: {"down": c.choice(["refuse", "hang"])}),
+    _store_fault("slow", lambda c: {"slow_ms": c.uniform(100, 2_000)}),
+    _store_fault(
+        "lost writes", lambda c: {"lose_probability": 0.5, "seed": c.randrange(1_000)}
+    ),
     _link_fault(
         "slow",
         ("store", "peers", "gossip"),
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
@@ -32,6 +32,8 @@
 # A quarantine is known to all daemons within this time after the second strike.
 _QUARANTINE_BOUND_MS = 2_000
 _CONVERGED_TIMEOUT_S = 9.0
+# The administration API answers at most 200 revisions; zone changes are among them.
+_HISTORY_ENTRIES = 50
 _MAX_CALLS_PER_SECOND = 1_000
 
 
@@ -123,6 +125,7 @@
         self._undo_all()
         calls = load.join()
         self._check_converged()
+        self._check_history()
         watch.stop()
         return self._result(calls, watch)
 
@@ -217,6 +220,15 @@
             violation = Violation(invariant="I9", detail=str(error))
             context.violations.append(violation)
 
+    def _check_history(self) -> None:
+        """Check I9: each change that was accepted is in the history."""
+        context, fleet = self._context, self._fleet
+        known = {entry["change_id"] for entry in fleet.history(fleet.vms[0])}
+        for change_id in context.accepted_change_ids[-_HISTORY_ENTRIES:]:
+            if change_id not in known:
+                detail = f"the accepted change {change_id} is not in the history"
+                context.violations.append(Violation(invariant="I9", detail=detail))
+
     def _check_poison(self, entries) -> list[Violation]:
         runs_by_target: dict[str, list[int]] = {}
         for entry in entries:
