--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 	$(BIN)/python -m vanillapitch_testbed.slopes --out build/slopes.json
 
 soak: $(STAMP)
-	$(BIN)/python -m vanillapitch_testbed.soak --seconds $(SECONDS)
+	$(BIN)/python -m vanillapitch_testbed.soak --seconds $(SECONDS) \
+		$(if $(SEED),--seed $(SEED))
 
 # Needs thrift-compiler 0.17; the generated code is committed.
 generate:
