--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/__main__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/__main__.py
@@ -48,7 +48,7 @@
             f"{summary.service}: {summary.calls} calls, {summary.answers} answers, "
             f"p50 {summary.p50_ms:.1f} ms, p99 {summary.p99_ms:.0f} ms; {refused}"
         )
-    faults = sorted(result.faults_by_name.items())
+    faults = sorted(result.faults_by_kind.items())
     print("faults: " + ", ".join(f"{name} {count}" for name, count in faults))
     print(
         f"most in flight at one backend server: {result.max_in_flight}, "
@@ -58,7 +58,7 @@
         print(f"VIOLATION {violation}")
     print(
         f"soak: seed {result.seed}, {len(result.calls)} calls, "
-        f"{sum(result.faults_by_name.values())} faults, "
+        f"{sum(result.faults_by_kind.values())} faults, "
         f"{len(result.violations)} violations"
     )
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
@@ -79,11 +79,17 @@
 class ActiveFault:
     """A fault in force; `undo` takes it back, `subject` has one fault at a time."""
 
-    name: str
+    kind: str
+    detail: str
     subject: str
     duration_s: float
     undo: Callable[[], None]
 
+    @property
+    def name(self) -> str:
+        """Kind and detail, for the timeline."""
+        return f"{self.kind} {self.detail}"
+
 
 def _scenario_fault(name: str, make_fields: Callable[[random.Random], dict]):
     def apply(context: FaultContext) -> ActiveFault:
@@ -91,7 +97,8 @@
         fields = make_fields(context.choice)
         _set_scenario(context, vm, **fields)
         return ActiveFault(
-            name=f"{name} {vm.name}",
+            kind=name,
+            detail=vm.name,
             subject=f"backend:{vm.name}",
             duration_s=context.choice.uniform(0.5, 4.0),
             undo=lambda: _set_scenario(context, vm),
@@ -109,7 +116,8 @@
     vm = context.pick_vm("backend")
     context.fleet.turn_cold(vm)
     return ActiveFault(
-        name=f"cold {vm.name}",
+        kind="cold",
+        detail=vm.name,
         subject=f"backend:{vm.name}",
         duration_s=1.0,
         undo=lambda: None,
@@ -121,7 +129,8 @@
     context.keep_counters(vm)
     vm.backend.kill()
     return ActiveFault(
-        name=f"kill backend {vm.name}",
+        kind="kill backend",
+        detail=vm.name,
         subject=f"backend:{vm.name}",
         duration_s=0.1,
         undo=lambda: None,  # the soak starts ended backend servers again
@@ -142,7 +151,8 @@
             fleet.announce_until_taken(vm)
 
     return ActiveFault(
-        name=f"leave {vm.name}",
+        kind="leave",
+        detail=vm.name,
         subject=f"backend:{vm.name}",
         duration_s=context.choice.uniform(4.0, 7.0),
         undo=undo,
@@ -163,7 +173,8 @@
     vm = context.pick_vm("daemon")
     vm.daemon.send_signal(signal.SIGSTOP)
     return ActiveFault(
-        name=f"pause daemon {vm.name}",
+        kind="pause daemon",
+        detail=vm.name,
         subject=f"daemon:{vm.name}",
         duration_s=context.choice.choice([0.3, 1.0, 3.0, 6.0]),
         undo=lambda: vm.daemon.send_signal(signal.SIGCONT),
@@ -174,7 +185,8 @@
     vm = context.pick_vm("daemon")
     vm.daemon.kill()
     return ActiveFault(
-        name=f"kill daemon {vm.name}",
+        kind="kill daemon",
+        detail=vm.name,
         subject=f"daemon:{vm.name}",
         duration_s=context.choice.uniform(0.2, 3.0),
         undo=lambda: context.fleet.restart_daemon(vm),
@@ -195,7 +207,8 @@
         context.fleet.restart_daemon(vm)
 
     return ActiveFault(
-        name=f"stop daemon {vm.name}",
+        kind="stop daemon",
+        detail=vm.name,
         subject=f"daemon:{vm.name}",
         duration_s=context.choice.uniform(1.0, 5.0),
         undo=undo,
@@ -215,7 +228,8 @@
         context.require_free(f"link:{link}")
         fleet.set_faults(link, **make_fields(context.choice))
         return ActiveFault(
-            name=f"{name} {link}",
+            kind=f"{kind} {name}",
+            detail=link,
             subject=f"link:{link}",
             duration_s=context.choice.uniform(0.5, longest_s),
             undo=lambda: fleet.set_faults(link),
@@ -229,7 +243,8 @@
         context.require_free("store")
         context.fleet.set_store_faults(**make_fields(context.choice))
         return ActiveFault(
-            name=f"{name} store",
+            kind=f"store {name}",
+            detail="",
             subject="store",
             duration_s=context.choice.uniform(0.5, 6.0),
             undo=context.fleet.set_store_faults,
@@ -245,7 +260,11 @@
     context.require_free(f"link:{link}")
     fleet.cut_link(link)
     return ActiveFault(
-        name=f"cut {link}", subject=f"link:{link}", duration_s=0.2, undo=lambda: None
+        kind="cut",
+        detail=link,
+        subject=f"link:{link}",
+        duration_s=0.2,
+        undo=lambda: None,
     )
 
 
@@ -264,7 +283,8 @@
         _zone_in(context, zone)
 
     return ActiveFault(
-        name=f"zone out {zone} ({response.status})",
+        kind="zone out",
+        detail=f"{zone} ({response.status})",
         subject="zones",
         duration_s=context.choice.uniform(4.0, 8.0),
         undo=undo,
@@ -304,7 +324,8 @@
         detail = f"two operators changed revision {base['revision']}"
         context.violations.append(Violation(invariant="I9", detail=detail))
     return ActiveFault(
-        name=f"racing operators {sorted(statuses)}",
+        kind="racing operators",
+        detail=str(sorted(statuses)),
         subject="operators",
         duration_s=0.5,
         undo=lambda: None,
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
@@ -43,7 +43,7 @@
 
     seed: int
     calls: list[Call]
-    faults_by_name: dict[str, int]
+    faults_by_kind: dict[str, int]
     violations: list[Violation]
     max_in_flight: int
     cold_failures: int
@@ -148,7 +148,7 @@
             return  # its subject has another fault, or is out of reach by one
         self._context.subjects.add(active.subject)
         self._note(active.name)
-        self._counts[" ".join(active.name.split(" ")[:2])] += 1
+        self._counts[active.kind] += 1
         self._active.append((time.monotonic() + active.duration_s, active))
 
     def _undo(self, fault: ActiveFault) -> bool:
@@ -259,7 +259,7 @@
         return SoakResult(
             seed=self._seed,
             calls=calls,
-            faults_by_name=dict(self._counts),
+            faults_by_kind=dict(self._counts),
             violations=violations,
             max_in_flight=max(kept["max_in_flight"] for kept in counters),
             cold_failures=sum(kept["cold_failures"] for kept in counters),
