--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,17 +5,29 @@
 
 import pykka
 from vanillapitch_core import Clock
+from vanillapitch_core.probes import ProbeBudget
+from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
+from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
+from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
+    Quarantine,
     make_application,
     make_attempter,
+    make_quarantine_check,
     make_retrier,
 )
-from vanillapitch_daemon.owner import Admission, BackendClient, Owner, OwnerHandler
+from vanillapitch_daemon.owner import (
+    Admission,
+    BackendClient,
+    Owner,
+    OwnerHandler,
+    Prober,
+)
 from vanillapitch_daemon.picker import Endpoint, Picker
 from vanillapitch_daemon.settings import Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
@@ -40,6 +52,8 @@
         This daemon's own endpoint.
     snapshot : TablesSnapshot
         Tables in force.
+    load : LoadSnapshot
+        Load of this daemon's endpoint.
     picker, admission : pykka.ActorRef
         The actors on the request path.
     callers : CallerServer
@@ -50,16 +64,29 @@
         Connections to other daemons.
     backend : BackendClient
         Connections to the backend server.
+    quarantine : Quarantine
+        Strikes of crashing requests.
+    prober : Prober
+        Probes of the backend server.
+    store : EtcdGatewayStore
+        Client of the platform's store.
+    fleet : Fleet
+        Membership and configuration.
     """
 
     endpoint: Endpoint
     snapshot: TablesSnapshot
+    load: LoadSnapshot
     picker: pykka.ActorRef
     admission: pykka.ActorRef
     callers: CallerServer
     peers: Server
     transport: Transport
     backend: BackendClient
+    quarantine: Quarantine
+    prober: Prober
+    store: EtcdGatewayStore
+    fleet: Fleet
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -83,14 +110,22 @@
         address=(settings.listen.peers.host, settings.listen.peers.port),
         service=settings.backend.service,
         zone=settings.instance.zone,
+        region=settings.instance.region,
     )
     cluster_key = settings.secrets.cluster_key.encode()
     max_frame_bytes = limits.max_body_bytes + FRAME_OVERHEAD_BYTES
     snapshot = TablesSnapshot()
     load = LoadSnapshot()
-    picker = Picker.start(snapshot=snapshot, random_source=random.Random())
+    picker = Picker.start(
+        own=endpoint, snapshot=snapshot, clock=clock, random_source=random.Random()
+    )
     admission = Admission.start(
-        slots=settings.backend.slots, load=load, snapshot=snapshot
+        slots=settings.backend.slots,
+        connections=settings.backend.connections,
+        zone=endpoint.zone,
+        load=load,
+        snapshot=snapshot,
+        clock=clock,
     )
     backend = BackendClient(
         address=(settings.backend.address.host, settings.backend.address.port),
@@ -100,7 +135,6 @@
     )
     owner = Owner(
         instance=endpoint.instance,
-        zone=endpoint.zone,
         admission=admission,
         backend=backend,
         load=load,
@@ -110,6 +144,19 @@
     transport = Transport(
         cluster_key=cluster_key, max_frame_bytes=max_frame_bytes, clock=clock
     )
+    store = EtcdGatewayStore(
+        addresses=settings.platform.addresses,
+        timeout_ms=settings.platform.timeout_ms,
+        clock=clock,
+    )
+    fleet = build_fleet(
+        settings,
+        instance=endpoint.instance,
+        store=store,
+        transport=transport,
+        snapshot=snapshot,
+        clock=clock,
+    )
     attempt = make_attempter(
         picker=picker,
         transport=transport,
@@ -117,10 +164,15 @@
         own_instance=endpoint.instance,
         clock=clock,
     )
+    quarantine = Quarantine(clock=clock)
+    run_attempts = make_retrier(
+        attempt=attempt, clock=clock, record_crash=quarantine.record_crash
+    )
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
         handler=make_application(
-            snapshot=snapshot, run_attempts=make_retrier(attempt=attempt, clock=clock)
+            snapshot=snapshot,
+            run_attempts=make_quarantine_check(run=run_attempts, quarantine=quarantine),
         ),
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
@@ -132,18 +184,58 @@
         address=endpoint.address,
         cluster_key=cluster_key,
         processors_by_service={
-            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
+            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
+            PEERS_SERVICE: PeersProcessor(fleet.handler),
         },
         max_frame_bytes=max_frame_bytes,
         worker_threads=settings.backend.slots + PEER_CALL_THREADS,
     )
+    prober = _build_prober(
+        settings,
+        admission=admission,
+        backend=backend,
+        load=load,
+        owner=owner,
+        clock=clock,
+    )
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
+        load=load,
         picker=picker,
         admission=admission,
         callers=callers,
         peers=peers,
         transport=transport,
         backend=backend,
+        quarantine=quarantine,
+        prober=prober,
+        store=store,
+        fleet=fleet,
+    )
+
+
+def _build_prober(
+    settings: Settings,
+    *,
+    admission: pykka.ActorRef,
+    backend: BackendClient,
+    load: LoadSnapshot,
+    owner: Owner,
+    clock: Clock,
+) -> Prober:
+    budget = ProbeBudget(
+        slots=settings.backend.slots,
+        budget_percent=settings.limits.probe_budget_percent,
+        started_at_ms=clock.now_ms(),
+    )
+    return Prober(
+        admission=admission,
+        backend=backend,
+        load=load,
+        budget=budget,
+        health_path=settings.backend.health_path,
+        last_answer_at_ms=lambda: owner.last_answer_at_ms,
+        on_probe=lambda healthy, duration_ms: None,
+        clock=clock,
     )
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -3,9 +3,11 @@
 import http.server
 import socket
 import threading
+import time
 
 import msgspec
 import pytest
+import urllib3
 from vanillapitch_core import SystemClock
 from vanillapitch_core.tables import Pool, Route, Tables
 from vanillapitch_daemon.assembly import build_daemon
@@ -58,8 +60,8 @@
     """Start backend servers; ``behave`` is called before each answer."""
     servers = []
 
-    def make(behave=lambda handler: None):
-        server = QuietServer(("127.0.0.1", 0), RecordingHandler)
+    def make(behave=lambda handler: None, port=0):
+        server = QuietServer(("127.0.0.1", port), RecordingHandler)
         server.requests = []
         server.behave = behave
         threading.Thread(target=server.serve_forever, daemon=True).start()
@@ -127,3 +129,17 @@
         if not daemon.admission.is_alive():
             continue
         stop_daemon(daemon, drain_timeout_ms=DRAIN_TIMEOUT_MS)
+
+
+@pytest.fixture
+def warm_up():
+    """Send requests until an endpoint has left its cold start."""
+
+    def warm(daemon):
+        deadline_s = time.monotonic() + 10
+        url = f"http://127.0.0.1:{daemon.callers.port}/"
+        while daemon.load.current.state != "ready":
+            assert time.monotonic() < deadline_s
+            assert urllib3.request("GET", url, retries=False, timeout=5).status == 200
+
+    return warm
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/server.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/server.py
@@ -3,6 +3,7 @@
 import logging
 import socket
 import threading
+import time
 
 from thrift.Thrift import TException
 from thrift.TMultiplexedProcessor import TMultiplexedProcessor
@@ -19,6 +20,7 @@
 FRAME_TIMEOUT_MS = 30_000
 LISTEN_BACKLOG = 128
 KEEPALIVE_IDLE_S = 60
+QUIET_CHECK_S = 0.02
 
 _log = logging.getLogger("vanillapitch.wire")
 _local = threading.local()
@@ -70,6 +72,8 @@
         self._connections: set[_ServerConnection] = set()
         self._pool = ReadinessPool(name="wire", threads=worker_threads)
         self._closed = False
+        self._active_calls = 0
+        self._last_call_at_s = time.monotonic()
         self._thread = threading.Thread(
             target=self._accept_connections, name="wire-accept", daemon=True
         )
@@ -84,6 +88,33 @@
         self._pool.start()
         self._thread.start()
 
+    def wait_until_quiet(self, quiet_s: float, timeout_s: float) -> bool:
+        """Wait until no call is served and none has arrived for a while.
+
+        Parameters
+        ----------
+        quiet_s : float
+            Length of the silence, in seconds.
+        timeout_s : float
+            Upper bound of the wait, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the server became quiet in time.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        quiet_since_s = time.monotonic()
+        while True:
+            now_s = time.monotonic()
+            if self._active_calls:
+                quiet_since_s = now_s
+            if now_s - max(quiet_since_s, self._last_call_at_s) >= quiet_s:
+                return True
+            if now_s >= deadline_s:
+                return False
+            time.sleep(QUIET_CHECK_S)
+
     def close(self) -> None:
         """Stop accepting and close every connection."""
         self._closed = True
@@ -123,8 +154,7 @@
             if connection.protocol is None:
                 self._authenticate(connection)
             else:
-                _local.sock = connection.sock
-                self._processor.process(connection.protocol, connection.protocol)
+                self._process(connection)
         except HandshakeFailed as error:
             _log.warning("wire: rejected connection: %s", error)
             self._remove(connection)
@@ -137,6 +167,17 @@
         else:
             self._pool.arm(connection.sock)
 
+    def _process(self, connection: "_ServerConnection") -> None:
+        _local.sock = connection.sock
+        with self._lock:
+            self._active_calls += 1
+        try:
+            self._processor.process(connection.protocol, connection.protocol)
+        finally:
+            with self._lock:
+                self._active_calls -= 1
+                self._last_call_at_s = time.monotonic()
+
     def _authenticate(self, connection: "_ServerConnection") -> None:
         sock = connection.sock
         sock.settimeout(HANDSHAKE_TIMEOUT_MS / 1000)
