--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/demo.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/demo.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import collections
 import dataclasses
 import signal
 import sys
@@ -33,6 +34,9 @@
 _ZONE_OUT_AT_S = 4.0
 _KILL_AT_S = 8.0
 _ZONE_IN_AT_S = 13.0
+# A drain waits for callers' connections; the daemons' own bound is their setting.
+_DRAIN_TIMEOUT_S = 15.0
+_SHOWN_VIOLATIONS = 10
 _CLOCK = SystemClock()
 
 
@@ -65,8 +69,11 @@
         print(f"demo: {error}", file=sys.stderr)
         return 1
     _print_table(run)
-    for violation in run.violations:
+    for violation in run.violations[:_SHOWN_VIOLATIONS]:
         print(f"VIOLATION {violation}")
+    counts = collections.Counter(violation.invariant for violation in run.violations)
+    for invariant, count in sorted(counts.items()):
+        _say(f"{invariant} is broken {count} times")
     _say(f"{len(run.violations)} invariant violations")
     return 1 if run.violations else 0
 
@@ -121,7 +128,7 @@
         vm.daemon.send_signal(signal.SIGTERM)
     violations = []
     for vm in fleet.vms:
-        code = vm.daemon.terminate()
+        code = vm.daemon.terminate(_DRAIN_TIMEOUT_S)
         if code:
             detail = f"the daemon of {vm.name} stopped with exit code {code}"
             violations.append(Violation(invariant="I8", detail=detail))
