--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -8,9 +8,11 @@
 from vanillapitch_core.probes import ProbeBudget
 from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
+from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
 from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
+from vanillapitch_daemon.claims import ClaimsPart, build_claims
 from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
     BodyMemory,
@@ -18,6 +20,7 @@
     Quarantine,
     make_application,
     make_attempter,
+    make_claimer,
     make_quarantine_check,
     make_retrier,
 )
@@ -29,9 +32,10 @@
     Prober,
 )
 from vanillapitch_daemon.picker import Endpoint, Picker
-from vanillapitch_daemon.settings import Settings
+from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 from vanillapitch_daemon.transport import Transport
+from vanillapitch_daemon.upkeep import LiveMembers, Upkeep
 
 __all__ = ["Daemon", "build_daemon"]
 
@@ -40,6 +44,8 @@
 # Threads beside those that wait for the backend server: refusals and calls between
 # daemons go on while every slot is taken.
 PEER_CALL_THREADS = 16
+# A claim is read back within the time of one claim, see `vanillapitch_daemon.claims`.
+READ_BACK_TIMEOUT_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,6 +68,8 @@
         Thrift towards other daemons.
     transport : Transport
         Connections to other daemons.
+    owner : Owner
+        Runs requests on the backend server.
     backend : BackendClient
         Connections to the backend server.
     quarantine : Quarantine
@@ -72,6 +80,12 @@
         Client of the platform's store.
     fleet : Fleet
         Membership and configuration.
+    claims : ClaimsPart
+        Claims of keyed requests.
+    live_members : LiveMembers
+        Members that may commit claims.
+    upkeep : Upkeep
+        Periodic work.
     """
 
     endpoint: Endpoint
@@ -82,11 +96,15 @@
     callers: CallerServer
     peers: Server
     transport: Transport
+    owner: Owner
     backend: BackendClient
     quarantine: Quarantine
     prober: Prober
     store: EtcdGatewayStore
     fleet: Fleet
+    claims: ClaimsPart
+    live_members: LiveMembers
+    upkeep: Upkeep
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -165,15 +183,24 @@
         clock=clock,
     )
     quarantine = Quarantine(clock=clock)
+    claims = _build_claims(
+        settings.platform,
+        instance=endpoint.instance,
+        transport=transport,
+        clock=clock,
+    )
     run_attempts = make_retrier(
         attempt=attempt, clock=clock, record_crash=quarantine.record_crash
     )
+    run_unless_quarantined = make_quarantine_check(
+        run=run_attempts, quarantine=quarantine
+    )
+    # A key is looked up first: what its first request did counts, even when the
+    # request is quarantined since.
+    run_once = make_claimer(run_attempts=run_unless_quarantined, gate=claims.gate)
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
-        handler=make_application(
-            snapshot=snapshot,
-            run_attempts=make_quarantine_check(run=run_attempts, quarantine=quarantine),
-        ),
+        handler=make_application(snapshot=snapshot, run_attempts=run_once),
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
         max_header_bytes=limits.max_header_bytes,
@@ -186,6 +213,7 @@
         processors_by_service={
             OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
             PEERS_SERVICE: PeersProcessor(fleet.handler),
+            CLAIMS_SERVICE: ClaimsProcessor(claims.handler),
         },
         max_frame_bytes=max_frame_bytes,
         worker_threads=settings.backend.slots + PEER_CALL_THREADS,
@@ -198,6 +226,8 @@
         owner=owner,
         clock=clock,
     )
+    live_members = LiveMembers(publish=claims.set_members)
+    upkeep = Upkeep(tasks=(transport.close_idle, live_members.publish_changes))
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -207,11 +237,15 @@
         callers=callers,
         peers=peers,
         transport=transport,
+        owner=owner,
         backend=backend,
         quarantine=quarantine,
         prober=prober,
         store=store,
         fleet=fleet,
+        claims=claims,
+        live_members=live_members,
+        upkeep=upkeep,
     )
 
 
@@ -239,3 +273,22 @@
         on_probe=lambda healthy, duration_ms: None,
         clock=clock,
     )
+
+
+def _build_claims(
+    platform: PlatformSettings, *, instance: str, transport: Transport, clock: Clock
+) -> ClaimsPart:
+    addresses = [str(address) for address in platform.addresses]
+    read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
+    return build_claims(
+        instance=instance,
+        writing_store=EtcdGatewayStore(
+            addresses=addresses, timeout_ms=platform.timeout_ms, clock=clock
+        ),
+        reading_store=EtcdGatewayStore(
+            addresses=addresses, timeout_ms=read_timeout_ms, clock=clock
+        ),
+        read_timeout_ms=read_timeout_ms,
+        transport=transport,
+        clock=clock,
+    )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
@@ -2,6 +2,7 @@
 
 from vanillapitch_daemon.ingress._application import make_application
 from vanillapitch_daemon.ingress._attempts import make_attempter
+from vanillapitch_daemon.ingress._keyed import make_claimer
 from vanillapitch_daemon.ingress._memory import BodyMemory
 from vanillapitch_daemon.ingress._quarantine import Quarantine, make_quarantine_check
 from vanillapitch_daemon.ingress._retry import make_retrier
@@ -14,5 +15,6 @@
     "make_application",
     "make_attempter",
     "make_quarantine_check",
+    "make_claimer",
     "make_retrier",
 ]
