Give unknown endpoints a first call without load; test crashes end to end

A new endpoint scored like a full one, so it got no call while a warm endpoint was among the candidates: at low load it never became known. It now gets a trial request like a cold one. The region of members reaches the picker.

Four daemons that share strikes refuse a request that crashed two backend servers as quarantined within 2 s, and it ran twice in all. Test ports are given once, after settings with the same port twice failed a run.

--- a/packages/vanillapitch-core/src/vanillapitch_core/picking/_policies.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/picking/_policies.py
@@ -40,7 +40,8 @@
 # One trial request in 400 keeps a straggler well below the 1% that p99 ignores.
 MAX_TRIAL_SPACING = 400
 MIN_TRIAL_SPACING = 10
-# A cold endpoint needs answers to warm up, also while the others have room.
+# A cold endpoint needs answers to warm up, and an unknown one to become known, also
+# while the others have room.
 TRIAL_SPACING_OF_COLD = 20
 # With little traffic, time takes the place of the count.
 TRIAL_AFTER_MS = 10_000.0
@@ -187,7 +188,7 @@
     endpoint: Endpoint, selection: Selection, *, baseline_ms: float
 ) -> bool:
     waited_picks = selection.service.picks - endpoint.last_pick_number
-    if _is_cold(endpoint) and waited_picks >= TRIAL_SPACING_OF_COLD:
+    if _needs_answers(endpoint) and waited_picks >= TRIAL_SPACING_OF_COLD:
         return True
     if endpoint.latency_ms <= SLOW_FACTOR * baseline_ms:
         return False
@@ -197,8 +198,11 @@
     return waited_picks >= min(MAX_TRIAL_SPACING, MIN_TRIAL_SPACING * ratio**2)
 
 
-def _is_cold(endpoint: Endpoint) -> bool:
-    return endpoint.report is not None and endpoint.report.state is EndpointState.COLD
+def _needs_answers(endpoint: Endpoint) -> bool:
+    report = endpoint.report
+    if report is None or not endpoint.answered:
+        return True
+    return report.state is EndpointState.COLD
 
 
 def _is_preferred(endpoint: Endpoint, selection: Selection) -> bool:
--- a/packages/vanillapitch-core/tests/test_decisions.py
+++ b/packages/vanillapitch-core/tests/test_decisions.py
@@ -196,6 +196,36 @@
     assert [picked.instance for picked in picks].count("new") == 1
 
 
+def test_unknown_endpoint_gets_work_without_load():
+    # Guards against a new endpoint that never gets a first call, because those that
+    # are warm always have room.
+    state = picking.PickerState(instance="me", zone="z", region="r")
+    rng = random.Random(1)
+    pool = Pool(name="p", service="s")
+    picks = []
+    for number in range(200):
+        if number in (0, 1, 100):
+            instance = f"e{number}"
+            picking.add_endpoint(
+                state, instance=instance, service="s", zone="z", region="r"
+            )
+        picked = picking.pick(state, pool=pool, now_ms=10.0 * number, rng=rng)
+        picks.append(picked.instance)
+        report = picking.LoadReport(in_flight=1, limit=12)
+        picking.record_report(
+            state, instance=picked.instance, report=report, now_ms=10.0 * number + 5
+        )
+        picking.record_result(
+            state,
+            instance=picked.instance,
+            call_id=picked.call_id,
+            result=picking.CallResult.ANSWERED,
+            latency_ms=5.0,
+            now_ms=10.0 * number + 5,
+        )
+    assert picks[100:].count("e100") >= 20
+
+
 def test_refused_connection_is_avoided_at_once():
     # Guards against retries that meet the same dead owner.
     state = picking.PickerState(instance="me", zone="z", region="r")
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_picking.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_picking.py
@@ -39,6 +39,7 @@
             address=(address.host, address.port),
             service=record.service,
             zone=record.zone,
+            region=record.region,
         )
         picker.tell(EndpointChanged(endpoint=endpoint))
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/picker.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/picker.py
@@ -45,7 +45,7 @@
     address: tuple[str, int]
     service: str
     zone: str
-    region: str = ""
+    region: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -18,9 +18,17 @@
 DRAIN_TIMEOUT_MS = 20_000
 
 
+_ports_given = set()
+
+
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    # The kernel may offer a port again that a test has not bound yet.
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            port = sock.getsockname()[1]
+        if port not in _ports_given:
+            _ports_given.add(port)
+            return port
 
 
 class RecordingHandler(http.server.BaseHTTPRequestHandler):
--- /dev/null
+++ b/packages/vanillapitch-daemon/tests/test_crashes.py
@@ -0,0 +1,81 @@
+"""Tests of a request that crashes each backend server that runs it."""
+
+import socket
+import time
+
+import msgspec
+import pytest
+import urllib3
+from vanillapitch_core import SystemClock
+from vanillapitch_daemon.assembly import build_daemon
+from vanillapitch_daemon.main import start_daemon, stop_daemon
+
+DAEMONS = 4
+# The bound on the design page within which other daemons know a quarantine.
+QUARANTINE_BOUND_S = 2.0
+
+
+def crash_on_poison(handler):
+    if not handler.path.startswith("/poison"):
+        return
+    handler.server.shutdown()
+    handler.server.server_close()
+    handler.connection.shutdown(socket.SHUT_RDWR)
+
+
+@pytest.fixture
+def crashing_daemons(make_settings, make_backend, tables):
+    """Start daemons that know each other beside backend servers that can crash."""
+    daemons, seeds = [], ()
+    backends = [make_backend(behave=crash_on_poison) for _ in range(DAEMONS)]
+    for backend in backends:
+        settings = make_settings(backend.server_port)
+        settings = msgspec.structs.replace(settings, seeds=seeds)
+        seeds = seeds or (settings.listen.gossip,)
+        daemon = build_daemon(settings, clock=SystemClock())
+        daemon.snapshot.replace(tables)
+        start_daemon(daemon)
+        daemons.append(daemon)
+    yield daemons, backends
+    for daemon in daemons:
+        stop_daemon(daemon, drain_timeout_ms=5_000)
+
+
+def send(daemon, path):
+    url = f"http://127.0.0.1:{daemon.callers.port}{path}"
+    # One fingerprint at every daemon: callers use the service's name as host.
+    return urllib3.request(
+        "GET", url, headers={"Host": "catalog.example"}, retries=False, timeout=10
+    )
+
+
+def code_of(answer):
+    return answer.json()["code"] if answer.status != 200 else "ok"
+
+
+def wait_until_all_serve(daemons):
+    deadline_s = time.monotonic() + 10
+    for daemon in daemons:
+        seen = set()
+        while len(seen) < DAEMONS:
+            assert time.monotonic() < deadline_s
+            seen.add(send(daemon, "/").headers.get("Vanillapitch-Instance"))
+            seen.discard(None)
+
+
+def test_crashing_request_takes_down_two_backend_servers_at_most(crashing_daemons):
+    # Guards against a request that is sent again, by the caller or by a daemon, until
+    # no backend server is left.
+    daemons, backends = crashing_daemons
+    wait_until_all_serve(daemons)
+    assert code_of(send(daemons[0], "/poison")) == "backend_crashed"
+    assert code_of(send(daemons[1], "/poison")) == "backend_crashed"
+    time.sleep(QUARANTINE_BOUND_S)
+    codes = {code_of(send(daemon, "/poison")) for daemon in daemons}
+    assert codes == {"quarantined"}
+    assert code_of(send(daemons[2], "/poison?other")) == "backend_crashed"
+    ran = sum(
+        path == "/poison" for backend in backends for _, path, _ in backend.requests
+    )
+    assert ran == 2
+    assert code_of(send(daemons[3], "/")) == "ok"
