--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -9,7 +9,7 @@
 import time
 
 from vanillapitch_core import SystemClock
-from vanillapitch_core.membership import MemberState, StrikeHeard
+from vanillapitch_core.membership import MemberChanged, MemberState, StrikeHeard
 
 from vanillapitch_daemon.assembly import Daemon, build_daemon
 from vanillapitch_daemon.membership import make_picker_feed
@@ -24,6 +24,9 @@
 # Peers that have not heard that this daemon leaves still send calls, which must be
 # refused and not cut off; one such silence shows that they have heard.
 PEERS_QUIET_S = 1.0
+# Bound on writing the results of claims after the last answer; a result that the store
+# does not take leaves a claim whose later senders are answered `outcome_unknown`.
+RECORD_TIMEOUT_MS = 5_000
 
 _log = logging.getLogger("vanillapitch.main")
 
@@ -92,6 +95,8 @@
     daemon.fleet.subscribe(
         StrikeHeard, lambda effect: daemon.quarantine.hear(effect.strike)
     )
+    daemon.fleet.subscribe(MemberChanged, daemon.live_members.hear)
+    daemon.upkeep.start()
     daemon.fleet.start(feed_picker=make_picker_feed(daemon.picker))
     daemon.fleet.announce(MemberState.ALIVE)
     _log.info("main: started instance=%s", daemon.endpoint.instance)
@@ -110,7 +115,8 @@
     Returns
     -------
     int
-        Exit code: 0 when every request was answered.
+        Exit code: 0 when every request was answered. Results of claims that the
+        store does not take in time leave claims that answer `outcome_unknown`.
     """
     _log.info("main: draining")
     daemon.fleet.announce(MemberState.LEAVING)
@@ -121,12 +127,14 @@
     remaining_s = max(0.0, deadline_s - time.monotonic())
     drained = daemon.peers.wait_until_quiet(PEERS_QUIET_S, remaining_s) and drained
     daemon.prober.stop()
+    daemon.upkeep.stop()
     daemon.fleet.stop()
+    recorded = daemon.claims.stop(RECORD_TIMEOUT_MS)
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
     daemon.store.close()
     daemon.picker.stop()
     daemon.admission.stop()
-    _log.info("main: stopped drained=%s", drained)
+    _log.info("main: stopped drained=%s recorded=%s", drained, recorded)
     return 0 if drained else EXIT_FAILED
