--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures that the tests of several packages share."""
 
 import json
+import re
 import socket
 import threading
 
@@ -193,6 +194,24 @@
         return listener.getsockname()[1]
 
 
+def read_request(connection):
+    """Read one request with its body, or what came before the end."""
+    request = b""
+    while not is_complete(request):
+        chunk = connection.recv(65_536)
+        if not chunk:
+            break
+        request += chunk
+    return request
+
+
+def is_complete(request):
+    """Tell whether a request has its head and its whole body."""
+    head, separator, body = request.partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    return bool(separator) and len(body) >= (int(length[1]) if length else 0)
+
+
 @pytest.fixture
 def running_admin():
     """Start an administration server over fakes."""
@@ -209,9 +228,7 @@
     host, _, port = running_admin.address.partition(":")
 
     def forward(connection):
-        request = connection.recv(1_000_000)
-        while b'"base_revision"' in request and not request.endswith(b"}"):
-            request += connection.recv(1_000_000)
+        request = read_request(connection)
         request = request.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
         with socket.create_connection((host, int(port))) as server:
             server.sendall(request)
--- /dev/null
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_documents.py
@@ -0,0 +1,227 @@
+"""Files with an operator's edit of the tables."""
+
+import os
+import pathlib
+import sys
+import tempfile
+
+import msgspec
+from vanillapitch_core.exceptions import TableError
+from vanillapitch_core.tables import Pool, Route, Tables, check_tables, parse_tables
+
+from vanillapitch_cli.exceptions import BadInputError
+
+__all__ = [
+    "Edit",
+    "apply_edit",
+    "check_file",
+    "read_edit",
+    "read_text",
+    "write_edit",
+    "write_new_edit",
+]
+
+_FILE_BYTES_MAX = 2 * 1_048_576
+
+
+class Edit(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """An operator's edit of one table or both.
+
+    Attributes
+    ----------
+    base_revision : int or None
+        Revision that the operator read; None for the one in force.
+    routes : tuple of Route or None
+        The whole routes table, when it is edited.
+    pools : tuple of Pool or None
+        The whole pools table, when it is edited.
+    base : Tables or None
+        The document that the operator read, in an edit that was kept; it makes
+        a rebase possible.
+    """
+
+    base_revision: int | None = None
+    routes: tuple[Route, ...] | None = None
+    pools: tuple[Pool, ...] | None = None
+    base: Tables | None = None
+
+
+def read_edit(file: str) -> Edit:
+    """Read an edit.
+
+    Parameters
+    ----------
+    file : str
+        Path, or ``-`` for standard input.
+
+    Returns
+    -------
+    Edit
+        The validated edit.
+
+    Raises
+    ------
+    BadInputError
+        If the file cannot be read or a field is invalid.
+    """
+    try:
+        edit = msgspec.json.decode(read_text(file), type=Edit)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadInputError(_decode_reason(error)) from error
+    if edit.routes is None and edit.pools is None:
+        raise BadInputError("$: the file has neither routes nor pools")
+    return edit
+
+
+def read_text(file: str) -> bytes:
+    """Read a bounded file.
+
+    Parameters
+    ----------
+    file : str
+        Path, or ``-`` for standard input.
+
+    Returns
+    -------
+    bytes
+        Its content.
+
+    Raises
+    ------
+    BadInputError
+        If the file cannot be read or is too large.
+    """
+    try:
+        if file == "-":
+            content = sys.stdin.buffer.read(_FILE_BYTES_MAX + 1)
+        else:
+            with open(file, "rb") as opened:
+                content = opened.read(_FILE_BYTES_MAX + 1)
+    except OSError as error:
+        raise BadInputError(f"cannot read {file!r}: {error.strerror}") from error
+    if len(content) > _FILE_BYTES_MAX:
+        raise BadInputError(f"{file!r} is larger than 2 MiB")
+    return content
+
+
+def write_edit(file: pathlib.Path, edit: Edit) -> None:
+    """Write an edit in readable form.
+
+    Parameters
+    ----------
+    file : pathlib.Path
+        Where to write.
+    edit : Edit
+        The edit; fields without a value are left out.
+    """
+    content = {
+        field: value
+        for field in edit.__struct_fields__
+        if (value := getattr(edit, field)) is not None
+    }
+    text = msgspec.json.format(msgspec.json.encode(content), indent=2)
+    file.write_bytes(text + b"\n")
+
+
+def write_new_edit(table: str, edit: Edit) -> pathlib.Path:
+    """Write an edit to a new file in the directory for temporary files.
+
+    Parameters
+    ----------
+    table : str
+        Name of the table, for the file's name.
+    edit : Edit
+        The edit.
+
+    Returns
+    -------
+    pathlib.Path
+        The file, readable by its owner only.
+    """
+    descriptor, name = tempfile.mkstemp(prefix=f"vanillapitch-{table}-", suffix=".json")
+    os.close(descriptor)
+    file = pathlib.Path(name)
+    write_edit(file, edit)
+    return file
+
+
+def apply_edit(tables: Tables, edit: Edit) -> Tables:
+    """Return tables with an edit's routes and pools.
+
+    Parameters
+    ----------
+    tables : Tables
+        The tables to start from.
+    edit : Edit
+        The edit.
+
+    Returns
+    -------
+    Tables
+        The checked result.
+
+    Raises
+    ------
+    BadInputError
+        If the result is invalid, for example a route without its pool.
+    """
+    fields = {"routes": edit.routes, "pools": edit.pools}
+    given = {name: value for name, value in fields.items() if value is not None}
+    edited = msgspec.structs.replace(tables, **given)
+    try:
+        check_tables(edited)
+    except TableError as error:
+        raise BadInputError(str(error)) from error
+    return edited
+
+
+def check_file(file: str) -> Tables:
+    """Check a tables document or an edit without a daemon.
+
+    Parameters
+    ----------
+    file : str
+        Path, or ``-`` for standard input.
+
+    Returns
+    -------
+    Tables
+        The tables that the file holds.
+
+    Raises
+    ------
+    BadInputError
+        If a field is invalid. References between the tables are checked when the file
+        holds both.
+    """
+    content = read_text(file)
+    try:
+        keys = msgspec.json.decode(content, type=dict)
+        is_edit = not {"routes", "pools"} <= keys.keys() or "base_revision" in keys
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadInputError(_decode_reason(error)) from error
+    if not is_edit:
+        try:
+            return parse_tables(content)
+        except TableError as error:
+            raise BadInputError(str(error)) from error
+    return _check_edit(content)
+
+
+def _check_edit(content: bytes) -> Tables:
+    try:
+        edit = msgspec.json.decode(content, type=Edit)
+    except msgspec.DecodeError as error:
+        raise BadInputError(_decode_reason(error)) from error
+    if edit.routes is not None and edit.pools is None:
+        # Only the routes are in the file, so any pool may exist.
+        pool_names = dict.fromkeys(route.pool for route in edit.routes)
+        pools = tuple(Pool(name=name, service=name) for name in pool_names)
+        checked = apply_edit(Tables(pools=pools), edit)
+        return msgspec.structs.replace(checked, pools=())
+    return apply_edit(Tables(), edit)
+
+
+def _decode_reason(error: Exception) -> str:
+    reason, _, path = str(error).partition(" - at `")
+    return f"{path.rstrip('`') or '$'}: {reason}"
