Add the HTML report of measurements

vanillapitch report draws the figures and timelines of bench.json as inline SVG. matplotlib is the optional extra report and is imported by this command only; without it the command ends with one line and exit code 1.

--- /dev/null
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_report_command.py
@@ -0,0 +1,112 @@
+"""Command that turns a measurements file into an HTML page."""
+
+import html
+import pathlib
+from collections.abc import Callable, Sequence
+from typing import Annotated, TypeVar
+
+import typer
+
+from vanillapitch_cli._report_model import (
+    Figure,
+    Measurements,
+    Timeline,
+    read_measurements,
+)
+from vanillapitch_cli.exceptions import BadInputError, FailedError
+
+__all__ = ["render_report", "report"]
+
+Item = TypeVar("Item", Figure, Timeline)
+DrawBars = Callable[[str, Sequence[Figure]], str]
+DrawLines = Callable[[str, Sequence[Timeline]], str]
+
+_STYLE = """
+body { font: 15px/1.4 sans-serif; max-width: 60em; margin: 2em auto; padding: 0 1em; }
+table { border-collapse: collapse; }
+th, td { border-bottom: 1px solid #ddd; padding: 0.2em 1em 0.2em 0; text-align: left; }
+td.value { text-align: right; font-variant-numeric: tabular-nums; }
+svg { max-width: 100%; height: auto; }
+"""
+
+
+def report(
+    file: Annotated[str, typer.Argument(help="Measurements of make bench.")],
+    out: Annotated[pathlib.Path, typer.Option("--out", help="HTML file to write.")],
+) -> None:
+    """Make an HTML report from measurements; needs the extra "report"."""
+    measurements = read_measurements(file)
+    try:
+        # Imported here because only this command needs matplotlib.
+        from vanillapitch_cli import _report_charts
+    except ImportError as error:
+        raise FailedError(
+            "matplotlib is not installed; install vanillapitch-cli[report]"
+        ) from error
+    page = render_report(
+        measurements,
+        draw_bars=_report_charts.draw_bars,
+        draw_lines=_report_charts.draw_lines,
+    )
+    try:
+        out.write_text(page, encoding="utf-8")
+    except OSError as error:
+        raise BadInputError(f"cannot write {str(out)!r}: {error.strerror}") from error
+    typer.echo(f"Wrote {out}.")
+
+
+def render_report(
+    measurements: Measurements, *, draw_bars: DrawBars, draw_lines: DrawLines
+) -> str:
+    """Return the page as text.
+
+    Parameters
+    ----------
+    measurements : Measurements
+        What to show.
+    draw_bars, draw_lines : callable
+        Draw one chart as an SVG element.
+
+    Returns
+    -------
+    str
+        A page without references to other files.
+    """
+    scenarios = dict.fromkeys(
+        item.scenario for item in (*measurements.figures, *measurements.timelines)
+    )
+    sections = []
+    for scenario in scenarios:
+        figures = [item for item in measurements.figures if item.scenario == scenario]
+        lines = [item for item in measurements.timelines if item.scenario == scenario]
+        sections.append(f"<h2>{html.escape(scenario)}</h2>")
+        sections += [draw_bars(*group) for group in _by_name(figures)]
+        sections += [draw_lines(*group) for group in _by_name(lines)]
+        sections.append(_figures_table(figures))
+    body = "\n".join(sections)
+    return (
+        '<!DOCTYPE html>\n<html lang="en">\n<head>\n<meta charset="utf-8">\n'
+        f"<title>vanillapitch measurements</title>\n<style>{_STYLE}</style>\n</head>\n"
+        f"<body>\n<h1>vanillapitch measurements</h1>\n{body}\n</body>\n</html>\n"
+    )
+
+
+def _by_name(items: Sequence[Item]) -> list[tuple[str, list[Item]]]:
+    groups: dict[tuple[str, str], list[Item]] = {}
+    for item in items:
+        groups.setdefault((item.name, item.unit), []).append(item)
+    return [(name, group) for (name, _), group in groups.items()]
+
+
+def _figures_table(figures: Sequence[Figure]) -> str:
+    if not figures:
+        return ""
+    rows = ["<tr><th>measurement</th><th>policy</th><th>value</th><th>unit</th></tr>"]
+    for figure in figures:
+        value = "not measured" if figure.value is None else f"{figure.value:.6g}"
+        name, policy, unit = map(html.escape, (figure.name, figure.policy, figure.unit))
+        rows.append(
+            f'<tr><td>{name}</td><td>{policy}</td><td class="value">{value}</td>'
+            f"<td>{unit}</td></tr>"
+        )
+    return "<table>\n" + "\n".join(rows) + "\n</table>"
--- a/packages/vanillapitch-cli/src/vanillapitch_cli/main.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/main.py
@@ -6,7 +6,7 @@
 import typer
 from typer.core import TyperGroup
 
-from vanillapitch_cli import _status_commands
+from vanillapitch_cli import _report_command, _status_commands
 from vanillapitch_cli._session import ADMIN_VARIABLE, Session
 from vanillapitch_cli._tables_commands import create_table_commands
 from vanillapitch_cli._zone_commands import zone_commands
@@ -48,6 +48,7 @@
 app.add_typer(zone_commands, name="zone")
 app.command()(_status_commands.status)
 app.command()(_status_commands.check)
+app.command()(_report_command.report)
 
 
 @app.callback()
--- /dev/null
+++ b/packages/vanillapitch-cli/tests/test_report.py
@@ -0,0 +1,83 @@
+"""Tests of the report of measurements."""
+
+import json
+import sys
+
+import pytest
+from typer.testing import CliRunner
+from vanillapitch_cli._report_command import render_report
+from vanillapitch_cli._report_model import read_measurements
+from vanillapitch_cli.main import app
+
+MEASUREMENTS = {
+    "started_at": "2026-12-04",
+    "figures": [
+        {
+            "scenario": "one <straggler>",
+            "policy": policy,
+            "name": "p99",
+            "value": value,
+            "unit": "ms",
+        }
+        for policy, value in (("picker", 12.5), ("random", None))
+    ],
+    "timelines": [
+        {
+            "scenario": "zone out",
+            "policy": "picker",
+            "name": "calls to the zone",
+            "unit": "1/s",
+            "points": [[0, 10], [1.5, 0]],
+        }
+    ],
+}
+
+
+@pytest.fixture
+def file(tmp_path):
+    path = tmp_path / "bench.json"
+    path.write_text(json.dumps(MEASUREMENTS))
+    return path
+
+
+def test_a_page_shows_every_measurement_and_escapes_names(file):
+    # Guards against a measurement that is dropped, and markup in a name.
+    drawn = []
+
+    def draw(name, items):
+        drawn.append((name, len(items)))
+        return "<svg></svg>"
+
+    page = render_report(read_measurements(str(file)), draw_bars=draw, draw_lines=draw)
+    assert drawn == [("p99", 2), ("calls to the zone", 1)]
+    assert "one &lt;straggler&gt;" in page
+    assert "<straggler>" not in page
+    assert "12.5" in page
+    assert "not measured" in page
+
+
+def test_a_missing_library_and_bad_files_have_clear_errors(file, tmp_path, monkeypatch):
+    # Guards against a traceback for an extra that is not installed.
+    out = tmp_path / "report.html"
+    monkeypatch.delitem(sys.modules, "vanillapitch_cli._report_charts", raising=False)
+    monkeypatch.setitem(sys.modules, "matplotlib", None)
+    result = CliRunner().invoke(app, ["report", str(file), "--out", str(out)])
+    assert (result.exit_code, out.exists()) == (1, False)
+    assert "vanillapitch-cli[report]" in result.stderr
+    file.write_text('{"figures": [{"scenario": 1}]}')
+    result = CliRunner().invoke(app, ["report", str(file), "--out", str(out)])
+    assert result.exit_code == 2
+    assert "$.figures[0].scenario" in result.stderr
+
+
+def test_charts_are_drawn_and_repeatable(file, tmp_path):
+    # Guards against a report without charts, and against needless differences.
+    pytest.importorskip("matplotlib", reason="the extra report is not installed")
+    pages = []
+    for name in ("first.html", "second.html"):
+        out = tmp_path / name
+        result = CliRunner().invoke(app, ["report", str(file), "--out", str(out)])
+        assert result.exit_code == 0, result.output
+        pages.append(out.read_text())
+    assert pages[0] == pages[1]
+    assert pages[0].count("<svg") == 2
