Count store calls and dropped membership messages

Operators need to see an outage of the store and a wrong cluster key. MeteredStore wraps any KeyValueStore, counts each call by kind and result, and keeps the store's state for the status.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/metrics.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/metrics.py
@@ -58,6 +58,9 @@
         self._gossip_bytes = self._counter(
             "gossip_bytes_total", "Bytes of membership messages by direction"
         )
+        self._gossip_drops = self._counter(
+            "gossip_dropped_total", "Membership messages that were dropped by reason"
+        )
         self._probe_ms = self._counter(
             "probe_ms_total", "Milliseconds of backend server time spent on probes"
         )
@@ -203,6 +206,16 @@
         """
         self._add(self._gossip_bytes, {"direction": direction}, size_bytes)
 
+    def count_gossip_drop(self, reason: str) -> None:
+        """Count a membership message that was dropped.
+
+        Parameters
+        ----------
+        reason : str
+            Fixed text of the reason, for example ``hmac`` or ``age``.
+        """
+        self._add(self._gossip_drops, {"reason": reason}, 1)
+
     def add_probe_ms(self, duration_ms: float) -> None:
         """Count time that a probe took from the backend server.
 
--- a/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
+++ b/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
@@ -1,5 +1,6 @@
 """Tests of log lines and metrics."""
 
+import contextlib
 import io
 import logging
 import re
@@ -7,7 +8,9 @@
 
 import pytest
 from vanillapitch_daemon.logs import configure_logs, get_log
+from vanillapitch_daemon.metered_store import MeteredStore
 from vanillapitch_daemon.metrics import Metrics
+from vanillapitch_platform import StoreRejected, StoreUnavailable
 
 SECRET = 'operator "token" of tests'
 
@@ -90,6 +93,7 @@
     metrics.count_claim("held")
     metrics.count_store_call("transact", "ok")
     metrics.add_gossip_bytes("sent", 1_400)
+    metrics.count_gossip_drop("hmac")
     metrics.add_probe_ms(6.5)
     lines = metrics.render().decode().splitlines()
     for line in (
@@ -101,6 +105,30 @@
         'claims_total{event="held"} 1',
         'store_calls_total{kind="transact",result="ok"} 1',
         'gossip_bytes_total{direction="sent"} 1400',
+        'gossip_dropped_total{reason="hmac"} 1',
         "probe_ms_total 6.5",
     ):
         assert f"vanillapitch_{line}" in lines
+
+
+def test_store_calls_are_counted_by_result():
+    # Guards against an outage of the store that operators cannot see.
+    answers = [None, StoreUnavailable(), StoreRejected()]
+
+    class Store:
+        def get(self, key):
+            answer = answers.pop(0)
+            if answer is not None:
+                raise answer
+
+    metrics = Metrics()
+    store = MeteredStore(store=Store(), metrics=metrics)
+    states = [store.state]
+    for error in (None, StoreUnavailable, StoreRejected):
+        with contextlib.nullcontext() if error is None else pytest.raises(error):
+            store.get("key")
+        states.append(store.state)
+    assert states == ["unknown", "up", "down", "up"]
+    text = metrics.render().decode()
+    for result in ("ok", "store_unavailable", "store_rejected"):
+        assert f'calls_total{{kind="get",result="{result}"}} 1\n' in text
