--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_changes.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_changes.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from vanillapitch_cli._client import AdminClient, Answer, AnswerLostError, NotSentError
 from vanillapitch_cli.exceptions import (
     BadInputError,
@@ -141,7 +143,8 @@
     client: AdminClient, change: Change, answer: Answer | None, *, is_doubtful: bool
 ) -> int | None:
     if answer is not None and answer.status == 200:
-        return answer.body["tables"]["revision"]
+        tables = answer.body.get("tables") or msgspec.to_builtins(client.tables())
+        return tables["revision"]
     # Once an answer was lost, a refusal of the same change proves nothing.
     if is_doubtful:
         return _settle(client, change, answer)
--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_client.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_client.py
@@ -13,8 +13,8 @@
 __all__ = ["AdminClient", "Answer", "AnswerLostError", "NotSentError"]
 
 _CONNECT_TIMEOUT_S = 2.0
-# Above the bounded time after which a daemon reports an unknown outcome.
-_READ_TIMEOUT_S = 15.0
+# Above the 15 s after which a daemon reports an unknown outcome.
+_READ_TIMEOUT_S = 20.0
 _CONNECT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
