--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,6 +5,7 @@
 
 import pykka
 from vanillapitch_core import Clock
+from vanillapitch_core.probes import ProbeBudget
 from vanillapitch_wire import Server
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
 
@@ -12,14 +13,22 @@
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
+    Quarantine,
     make_application,
     make_attempter,
+    make_quarantine_check,
     make_refuser,
     make_retrier,
 )
 from vanillapitch_daemon.metrics import Metrics
 from vanillapitch_daemon.node import Node, SnapshotConfiguration
-from vanillapitch_daemon.owner import Admission, BackendClient, Owner, OwnerHandler
+from vanillapitch_daemon.owner import (
+    Admission,
+    BackendClient,
+    Owner,
+    OwnerHandler,
+    Prober,
+)
 from vanillapitch_daemon.picker import Endpoint, Picker
 from vanillapitch_daemon.settings import Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
@@ -29,6 +38,9 @@
 
 # Headers and Thrift fields around a body.
 FRAME_OVERHEAD_BYTES = 1_048_576
+# Threads beside those that wait for the backend server: refusals and calls between
+# daemons go on while every slot is taken.
+PEER_CALL_THREADS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,6 +53,8 @@
         This daemon's own endpoint.
     snapshot : TablesSnapshot
         Tables in force.
+    load : LoadSnapshot
+        Load of this daemon's endpoint.
     picker, admission : pykka.ActorRef
         The actors on the request path.
     callers : CallerServer
@@ -51,6 +65,10 @@
         Connections to other daemons.
     backend : BackendClient
         Connections to the backend server.
+    quarantine : Quarantine
+        Strikes of crashing requests.
+    prober : Prober
+        Probes of the backend server.
     node : Node
         State of this daemon for operators.
     metrics : Metrics
@@ -61,12 +79,15 @@
 
     endpoint: Endpoint
     snapshot: TablesSnapshot
+    load: LoadSnapshot
     picker: pykka.ActorRef
     admission: pykka.ActorRef
     callers: CallerServer
     peers: Server
     transport: Transport
     backend: BackendClient
+    quarantine: Quarantine
+    prober: Prober
     node: Node
     metrics: Metrics
     admin: AdminServer
@@ -93,6 +114,7 @@
         address=(settings.listen.peers.host, settings.listen.peers.port),
         service=settings.backend.service,
         zone=settings.instance.zone,
+        region=settings.instance.region,
     )
     cluster_key = settings.secrets.cluster_key.encode()
     max_frame_bytes = limits.max_body_bytes + FRAME_OVERHEAD_BYTES
@@ -100,9 +122,16 @@
     refuse = make_refuser(metrics=metrics)
     snapshot = TablesSnapshot()
     load = LoadSnapshot()
-    picker = Picker.start(snapshot=snapshot, random_source=random.Random())
+    picker = Picker.start(
+        own=endpoint, snapshot=snapshot, clock=clock, random_source=random.Random()
+    )
     admission = Admission.start(
-        slots=settings.backend.slots, load=load, snapshot=snapshot
+        slots=settings.backend.slots,
+        connections=settings.backend.connections,
+        zone=endpoint.zone,
+        load=load,
+        snapshot=snapshot,
+        clock=clock,
     )
     backend = BackendClient(
         address=(settings.backend.address.host, settings.backend.address.port),
@@ -112,7 +141,6 @@
     )
     owner = Owner(
         instance=endpoint.instance,
-        zone=endpoint.zone,
         admission=admission,
         backend=backend,
         load=load,
@@ -129,13 +157,18 @@
         own_instance=endpoint.instance,
         clock=clock,
     )
+    quarantine = Quarantine(clock=clock)
+    run_attempts = make_retrier(
+        attempt=attempt,
+        clock=clock,
+        record_crash=quarantine.record_crash,
+        count_retry=metrics.count_retry,
+    )
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
         handler=make_application(
             snapshot=snapshot,
-            run_attempts=make_retrier(
-                attempt=attempt, clock=clock, count_retry=metrics.count_retry
-            ),
+            run_attempts=make_quarantine_check(run=run_attempts, quarantine=quarantine),
             refuse=refuse,
             metrics=metrics,
             clock=clock,
@@ -154,6 +187,16 @@
             OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
         },
         max_frame_bytes=max_frame_bytes,
+        worker_threads=settings.backend.slots + PEER_CALL_THREADS,
+    )
+    prober = _build_prober(
+        settings,
+        admission=admission,
+        backend=backend,
+        load=load,
+        owner=owner,
+        metrics=metrics,
+        clock=clock,
     )
     node = Node(
         settings=settings,
@@ -177,13 +220,43 @@
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
+        load=load,
         picker=picker,
         admission=admission,
         callers=callers,
         peers=peers,
         transport=transport,
         backend=backend,
+        quarantine=quarantine,
+        prober=prober,
         node=node,
         metrics=metrics,
         admin=admin,
     )
+
+
+def _build_prober(
+    settings: Settings,
+    *,
+    admission: pykka.ActorRef,
+    backend: BackendClient,
+    load: LoadSnapshot,
+    owner: Owner,
+    metrics: Metrics,
+    clock: Clock,
+) -> Prober:
+    budget = ProbeBudget(
+        slots=settings.backend.slots,
+        budget_percent=settings.limits.probe_budget_percent,
+        started_at_ms=clock.now_ms(),
+    )
+    return Prober(
+        admission=admission,
+        backend=backend,
+        load=load,
+        budget=budget,
+        health_path=settings.backend.health_path,
+        last_answer_at_ms=lambda: owner.last_answer_at_ms,
+        on_probe=lambda healthy, duration_ms: metrics.add_probe_ms(duration_ms),
+        clock=clock,
+    )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/metrics.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/metrics.py
@@ -10,6 +10,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 from vanillapitch_core.outcome import RefusalCode
+from vanillapitch_core.retries import RetryReason
 
 __all__ = ["LATENCY_BUCKETS_MS", "Metrics"]
 
@@ -44,7 +45,9 @@
         self._registry = Registry()
         self._calls = self._counter("calls_total", "Calls from callers by pool")
         self._refusals = self._counter("refusals_total", "Refusals by code")
-        self._retries = self._counter("retries_total", "Retries and hedges by reason")
+        self._retries = self._counter(
+            "retries_total", "Decisions after a failed attempt by reason"
+        )
         self._in_flight = self._gauge("in_flight", "Requests in flight by role")
         self._limit = self._gauge("limit", "Current admission limit of the endpoint")
         self._members = self._gauge("members", "Members by state")
@@ -73,6 +76,8 @@
         # A rate over a counter needs its first sample before the first refusal.
         for code in RefusalCode:
             self._refusals.set({"code": code.value}, 0)
+        for reason in RetryReason:
+            self._retries.set({"reason": reason.value}, 0)
 
     def add_sampler(self, sampler: Callable[[], None]) -> None:
         """Register a function that sets gauges before each rendering.
@@ -117,7 +122,7 @@
         self._add(self._refusals, {"code": code.value}, 1)
 
     def count_retry(self, reason: str) -> None:
-        """Count a retry or a hedge.
+        """Count a decision after a failed attempt.
 
         Parameters
         ----------
