Connect the administration API to membership and configuration

The node port reads members from the membership actor and announces states through it, changes go to the configuration actor, and calls to the store and membership messages are counted.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -6,10 +6,13 @@
 import pykka
 from vanillapitch_core import Clock
 from vanillapitch_core.probes import ProbeBudget
+from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
+from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
 from vanillapitch_daemon.admin import AdminServer, create_app
+from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
@@ -20,8 +23,10 @@
     make_refuser,
     make_retrier,
 )
+from vanillapitch_daemon.membership import GetMembers
+from vanillapitch_daemon.metered_store import MeteredStore
 from vanillapitch_daemon.metrics import Metrics
-from vanillapitch_daemon.node import Node, SnapshotConfiguration
+from vanillapitch_daemon.node import GossipMetrics, Node
 from vanillapitch_daemon.owner import (
     Admission,
     BackendClient,
@@ -75,6 +80,10 @@
         Metrics of the daemon.
     admin : AdminServer
         Administration API.
+    store : EtcdGatewayStore
+        Client of the platform's store.
+    fleet : Fleet
+        Membership and configuration.
     """
 
     endpoint: Endpoint
@@ -91,6 +100,8 @@
     node: Node
     metrics: Metrics
     admin: AdminServer
+    store: EtcdGatewayStore
+    fleet: Fleet
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -150,6 +161,21 @@
     transport = Transport(
         cluster_key=cluster_key, max_frame_bytes=max_frame_bytes, clock=clock
     )
+    store = EtcdGatewayStore(
+        addresses=settings.platform.addresses,
+        timeout_ms=settings.platform.timeout_ms,
+        clock=clock,
+    )
+    metered_store = MeteredStore(store=store, metrics=metrics)
+    fleet = build_fleet(
+        settings,
+        instance=endpoint.instance,
+        store=metered_store,
+        transport=transport,
+        snapshot=snapshot,
+        clock=clock,
+        meter=GossipMetrics(metrics=metrics),
+    )
     attempt = make_attempter(
         picker=picker,
         transport=transport,
@@ -184,7 +210,8 @@
         address=endpoint.address,
         cluster_key=cluster_key,
         processors_by_service={
-            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner))
+            OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
+            PEERS_SERVICE: PeersProcessor(fleet.handler),
         },
         max_frame_bytes=max_frame_bytes,
         worker_threads=settings.backend.slots + PEER_CALL_THREADS,
@@ -201,17 +228,19 @@
     node = Node(
         settings=settings,
         endpoint=endpoint,
-        picker=picker,
         admission=admission,
         load=load,
         snapshot=snapshot,
         metrics=metrics,
         clock=clock,
+        read_members=lambda: fleet.membership.ask(GetMembers()),
+        announce_state=fleet.announce,
+        read_store_state=lambda: metered_store.state,
     )
     admin = AdminServer(
         application=create_app(
             node=node,
-            configuration=SnapshotConfiguration(snapshot=snapshot),
+            configuration=fleet.admin_configuration,
             metrics=metrics,
             admin_token=settings.secrets.admin_token,
         ),
@@ -232,6 +261,8 @@
         node=node,
         metrics=metrics,
         admin=admin,
+        store=store,
+        fleet=fleet,
     )
 
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/node.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/node.py
@@ -2,34 +2,33 @@
 
 import threading
 from collections import Counter
+from collections.abc import Callable, Iterable
 
 import pykka
 from vanillapitch_core import Clock
-from vanillapitch_core.tables import Tables
+from vanillapitch_core.membership import MemberRecord, MemberState
 
 from vanillapitch_daemon import __version__
 from vanillapitch_daemon.admin import (
-    AdminUnavailableError,
     BackendState,
-    ChangeResult,
-    ChangeStatus,
     Member,
     Status,
-    TablesChange,
-    ZoneChange,
 )
 from vanillapitch_daemon.logs import get_log
 from vanillapitch_daemon.metrics import Metrics
 from vanillapitch_daemon.owner import SetState
-from vanillapitch_daemon.picker import Endpoint, EndpointChanged, EndpointRemoved
+from vanillapitch_daemon.picker import Endpoint
 from vanillapitch_daemon.settings import Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 
-__all__ = ["Node", "SnapshotConfiguration"]
+__all__ = ["GossipMetrics", "Node"]
 
 _log = get_log("admin")
 
-_NO_STORE = "The daemon has no connection to the store; nothing was changed."
+_MEMBER_STATES = {
+    BackendState.READY: MemberState.ALIVE,
+    BackendState.LEAVING: MemberState.LEAVING,
+}
 
 
 class Node:
@@ -41,8 +40,8 @@
         The validated settings.
     endpoint : Endpoint
         This daemon's own endpoint.
-    picker, admission : pykka.ActorRef
-        Actors that learn what the backend server announces.
+    admission : pykka.ActorRef
+        The admission actor, which learns what the backend server announces.
     load : LoadSnapshot
         Load that the admission actor publishes.
     snapshot : TablesSnapshot
@@ -51,6 +50,12 @@
         Metrics whose gauges are set from the snapshots.
     clock : Clock
         Source of time.
+    read_members : callable
+        Returns the records of all members, the own one first.
+    announce_state : callable
+        Tells the members of this daemon's state.
+    read_store_state : callable
+        Returns ``up``, ``down`` or ``unknown``.
     """
 
     def __init__(
@@ -58,20 +63,24 @@
         *,
         settings: Settings,
         endpoint: Endpoint,
-        picker: pykka.ActorRef,
         admission: pykka.ActorRef,
         load: LoadSnapshot,
         snapshot: TablesSnapshot,
         metrics: Metrics,
         clock: Clock,
+        read_members: Callable[[], Iterable[MemberRecord]],
+        announce_state: Callable[[MemberState], None],
+        read_store_state: Callable[[], str],
     ):
         self._settings = settings
         self._endpoint = endpoint
-        self._picker = picker
         self._admission = admission
         self._load = load
         self._snapshot = snapshot
         self._metrics = metrics
+        self._read_members = read_members
+        self._announce_state = announce_state
+        self._read_store_state = read_store_state
         self._started_at_ms = clock.wall_ms()
         self._lock = threading.Lock()
         self._is_started = False
@@ -91,19 +100,20 @@
         """Return the state of this daemon."""
         load = self._load.current
         settings = self._settings
+        members = self.members()
         return Status(
             instance=self._endpoint.instance,
             zone=settings.instance.zone,
             region=settings.instance.region,
             service=settings.backend.service,
-            state=self._state(),
+            state=members[0].state,
             endpoint_state=load.state,
             revision=self._snapshot.current.tables.revision,
             in_flight=load.in_flight,
             limit=load.limit,
             slots=settings.backend.slots,
-            members_by_state=self._count_members(),
-            store="unknown",
+            members_by_state=_count_states(members),
+            store=self._read_store_state(),
             started_at_ms=self._started_at_ms,
             version=__version__,
         )
@@ -117,18 +127,19 @@
         return ()
 
     def members(self) -> tuple[Member, ...]:
-        """Return the known members; only this one until membership is connected."""
-        settings = self._settings
-        own = Member(
-            instance=self._endpoint.instance,
-            zone=settings.instance.zone,
-            region=settings.instance.region,
-            service=settings.backend.service,
-            state=self._state(),
-            version=1,
-            slots=settings.backend.slots,
+        """Return the known members, this one first."""
+        return tuple(
+            Member(
+                instance=record.instance,
+                zone=record.zone,
+                region=record.region,
+                service=record.service,
+                state=record.state.value,
+                version=record.version,
+                slots=record.slots,
+            )
+            for record in self._read_members()
         )
-        return (own,)
 
     def announce(self, state: BackendState) -> BackendState:
         """Take over what the backend server announces about itself.
@@ -148,53 +159,31 @@
                 return BackendState.LEAVING
             # The owner refuses new work before any ingress learns of the state.
             self._admission.ask(SetState(state=state.value))
-            if state is BackendState.READY:
-                self._picker.tell(EndpointChanged(endpoint=self._endpoint))
-            else:
-                self._picker.tell(EndpointRemoved(instance=self._endpoint.instance))
+            self._announce_state(_MEMBER_STATES[state])
         _log.info("The backend server announced itself", state=state.value)
         return state
 
-    def _state(self) -> str:
-        if self._is_draining or self._load.current.state == "leaving":
-            return "leaving"
-        return "alive" if self._is_started else "joining"
-
-    def _count_members(self) -> dict[str, int]:
-        return dict(Counter(member.state for member in self.members()))
-
     def _set_gauges(self) -> None:
         load = self._load.current
         self._metrics.set_in_flight("owner", load.in_flight)
         self._metrics.set_limit(load.limit)
         self._metrics.set_revision(self._snapshot.current.tables.revision)
-        self._metrics.set_members(self._count_members())
+        self._metrics.set_members(_count_states(self.members()))
+
 
+def _count_states(members: Iterable[Member]) -> dict[str, int]:
+    return dict(Counter(member.state for member in members))
 
-class SnapshotConfiguration:
-    """Configuration port without a store: it reads the tables in force.
+
+class GossipMetrics:
+    """Counts membership messages in the daemon's metrics.
 
     Parameters
     ----------
-    snapshot : TablesSnapshot
-        Tables in force.
+    metrics : Metrics
+        Metrics of the daemon.
     """
 
-    def __init__(self, *, snapshot: TablesSnapshot):
-        self._snapshot = snapshot
-
-    def tables(self) -> Tables:
-        """Return the tables in force."""
-        return self._snapshot.current.tables
-
-    def history(self, *, limit: int) -> tuple[Tables, ...]:
-        """Refuse: the history is in the store."""
-        raise AdminUnavailableError("The history is in the store.")
-
-    def apply(self, change: TablesChange) -> ChangeResult:
-        """Refuse: a change needs the store."""
-        return ChangeResult(status=ChangeStatus.UNAVAILABLE, reason=_NO_STORE)
-
-    def set_zone(self, change: ZoneChange) -> ChangeResult:
-        """Refuse: a change needs the store."""
-        return ChangeResult(status=ChangeStatus.UNAVAILABLE, reason=_NO_STORE)
+    def __init__(self, *, metrics: Metrics):
+        self.add_bytes = metrics.add_gossip_bytes
+        self.count_drop = metrics.count_gossip_drop
