--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
@@ -2,6 +2,7 @@
 
 from vanillapitch_daemon.ingress._application import make_application
 from vanillapitch_daemon.ingress._attempts import make_attempter
+from vanillapitch_daemon.ingress._keyed import make_claimer
 from vanillapitch_daemon.ingress._memory import BodyMemory
 from vanillapitch_daemon.ingress._problem import make_refuser
 from vanillapitch_daemon.ingress._quarantine import Quarantine, make_quarantine_check
@@ -14,6 +15,7 @@
     "Quarantine",
     "make_application",
     "make_attempter",
+    "make_claimer",
     "make_quarantine_check",
     "make_refuser",
     "make_retrier",
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -8,7 +8,7 @@
 import time
 
 from vanillapitch_core import SystemClock
-from vanillapitch_core.membership import MemberState, StrikeHeard
+from vanillapitch_core.membership import MemberChanged, MemberState, StrikeHeard
 
 from vanillapitch_daemon.assembly import Daemon, build_daemon
 from vanillapitch_daemon.logs import configure_logs, get_log
@@ -24,6 +24,9 @@
 # Peers that have not heard that this daemon leaves still send calls, which must be
 # refused and not cut off; one such silence shows that they have heard.
 PEERS_QUIET_S = 1.0
+# Bound on writing the results of claims after the last answer; a result that the store
+# does not take leaves a claim whose later senders are answered `outcome_unknown`.
+RECORD_TIMEOUT_MS = 5_000
 
 _log = get_log("main")
 
@@ -95,6 +98,8 @@
     daemon.fleet.subscribe(
         StrikeHeard, lambda effect: daemon.quarantine.hear(effect.strike)
     )
+    daemon.fleet.subscribe(MemberChanged, daemon.live_members.hear)
+    daemon.upkeep.start()
     daemon.fleet.start(feed_picker=make_picker_feed(daemon.picker))
     daemon.fleet.announce(MemberState.ALIVE)
     daemon.node.mark_started()
@@ -114,7 +119,8 @@
     Returns
     -------
     int
-        Exit code: 0 when every request was answered.
+        Exit code: 0 when every request was answered. Results of claims that the
+        store does not take in time leave claims that answer `outcome_unknown`.
     """
     _log.info("Draining", timeout_ms=drain_timeout_ms)
     daemon.node.mark_draining()
@@ -127,12 +133,14 @@
     drained = daemon.peers.wait_until_quiet(PEERS_QUIET_S, remaining_s) and drained
     daemon.prober.stop()
     daemon.admin.stop()
+    daemon.upkeep.stop()
     daemon.fleet.stop()
+    recorded = daemon.claims.stop(RECORD_TIMEOUT_MS)
     daemon.peers.close()
     daemon.transport.close()
     daemon.backend.close()
     daemon.store.close()
     daemon.picker.stop()
     daemon.admission.stop()
-    _log.info("Stopped", drained=drained)
+    _log.info("Stopped", drained=drained, recorded=recorded)
     return 0 if drained else EXIT_FAILED
--- a/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
+++ b/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
@@ -36,6 +36,12 @@
     )
 
 
+def test_a_part_is_named_once(lines):
+    # Guards against a doubled prefix from a package with a plain logger.
+    logging.getLogger("vanillapitch.wire").warning("wire: rejected a connection")
+    assert lines()[0].endswith(" WARNING wire: rejected a connection")
+
+
 def test_secrets_stay_out_of_every_part_of_a_line(lines):
     # Guards against a token in a field, a sentence, an error or a library's record.
     log = get_log("admin")
