--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_connection.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_connection.py
@@ -6,13 +6,12 @@
 import threading
 from typing import Protocol
 
-from vanillapitch_core import Clock
+from vanillapitch_core import Clock, Refusal
 from waitress.parser import HTTPRequestParser
 
 from vanillapitch_daemon.calls import CallerRequest, Response
 from vanillapitch_daemon.ingress._format import FormattedResponse, format_response
 from vanillapitch_daemon.ingress._parser import RequestParser, make_parser_refusal
-from vanillapitch_daemon.ingress._problem import make_problem_response
 from vanillapitch_daemon.ingress._request import (
     RequestRejected,
     make_caller_request,
@@ -59,6 +58,9 @@
     def handle(self, request: CallerRequest) -> Response:
         """Answer a request."""
 
+    def refuse(self, refusal: Refusal, request_id: str) -> Response:
+        """Answer a request that is refused before it is handled."""
+
     def is_draining(self) -> bool:
         """Whether connections close after their next answer."""
 
@@ -176,7 +178,7 @@
         if parsed.error:
             self._lingers = True
             refusal = make_parser_refusal(parsed.error)
-            response = make_problem_response(refusal, request_id)
+            response = self.server.refuse(refusal, request_id)
         else:
             response = self._handle(parsed, request_id)
         close = self._lingers or self.server.is_draining()
@@ -192,7 +194,7 @@
                 is_cancelled=self._is_caller_gone,
             )
         except RequestRejected as error:
-            return make_problem_response(error.refusal, request_id)
+            return self.server.refuse(error.refusal, request_id)
         return self.server.handle(request)
 
     def _is_caller_gone(self) -> bool:
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/logs.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/logs.py
@@ -123,11 +123,14 @@
         self._secrets = sorted(filter(None, secrets), key=len, reverse=True)
 
     def format(self, record: logging.LogRecord) -> str:
+        prefix = record.name.removeprefix(f"{_ROOT}.") + ":"
+        # Packages that cannot use `PartLog` may name their part in the message.
+        sentence = record.getMessage().removeprefix(f"{prefix} ")
         parts = [
             _format_time(record.created),
             record.levelname,
-            record.name.removeprefix(f"{_ROOT}.") + ":",
-            _single_line(self._redact(record.getMessage())),
+            prefix,
+            _single_line(self._redact(sentence)),
         ]
         for key, value in getattr(record, "fields", {}).items():
             parts.append(f"{key}={self._format_value(value)}")
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/readiness.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/readiness.py
@@ -105,4 +105,4 @@
         try:
             callback()
         except Exception:
-            _log.exception("wire: handler of a socket failed")
+            _log.exception("The handler of a socket failed")
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/server.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/server.py
@@ -133,7 +133,7 @@
             except OSError:
                 if self._closed:
                     return
-                _log.exception("wire: accept failed")
+                _log.exception("Could not accept a connection")
                 continue
             self._add(sock)
 
@@ -156,10 +156,10 @@
             else:
                 self._process(connection)
         except HandshakeFailed as error:
-            _log.warning("wire: rejected connection: %s", error)
+            _log.warning("Rejected a connection: %s", error)
             self._remove(connection)
         except (OSError, EOFError, TException):
-            _log.debug("wire: connection ended", exc_info=True)
+            _log.debug("A connection ended", exc_info=True)
             self._remove(connection)
         except BaseException:
             self._remove(connection)
