--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -35,16 +35,17 @@
 from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 from vanillapitch_daemon.transport import Transport
+from vanillapitch_daemon.upkeep import LiveMembers, Upkeep
 
 __all__ = ["Daemon", "build_daemon"]
 
 # Headers and Thrift fields around a body.
 FRAME_OVERHEAD_BYTES = 1_048_576
-# A claim is read back within the time of one claim, see `vanillapitch_daemon.claims`.
-READ_BACK_TIMEOUT_MS = 500
 # Threads beside those that wait for the backend server: refusals and calls between
 # daemons go on while every slot is taken.
 PEER_CALL_THREADS = 16
+# A claim is read back within the time of one claim, see `vanillapitch_daemon.claims`.
+READ_BACK_TIMEOUT_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,10 +68,10 @@
         Thrift towards other daemons.
     transport : Transport
         Connections to other daemons.
+    owner : Owner
+        Runs requests on the backend server.
     backend : BackendClient
         Connections to the backend server.
-    claims : ClaimsPart
-        Claims of keyed requests.
     quarantine : Quarantine
         Strikes of crashing requests.
     prober : Prober
@@ -79,6 +80,12 @@
         Client of the platform's store.
     fleet : Fleet
         Membership and configuration.
+    claims : ClaimsPart
+        Claims of keyed requests.
+    live_members : LiveMembers
+        Members that may commit claims.
+    upkeep : Upkeep
+        Periodic work.
     """
 
     endpoint: Endpoint
@@ -89,12 +96,15 @@
     callers: CallerServer
     peers: Server
     transport: Transport
+    owner: Owner
     backend: BackendClient
-    claims: ClaimsPart
     quarantine: Quarantine
     prober: Prober
     store: EtcdGatewayStore
     fleet: Fleet
+    claims: ClaimsPart
+    live_members: LiveMembers
+    upkeep: Upkeep
 
 
 def build_daemon(settings: Settings, *, clock: Clock) -> Daemon:
@@ -172,24 +182,25 @@
         own_instance=endpoint.instance,
         clock=clock,
     )
+    quarantine = Quarantine(clock=clock)
     claims = _build_claims(
         settings.platform,
         instance=endpoint.instance,
-        store=store,
         transport=transport,
         clock=clock,
     )
-    quarantine = Quarantine(clock=clock)
     run_attempts = make_retrier(
         attempt=attempt, clock=clock, record_crash=quarantine.record_crash
     )
-    run_claimed = make_claimer(run_attempts=run_attempts, gate=claims.gate)
+    run_unless_quarantined = make_quarantine_check(
+        run=run_attempts, quarantine=quarantine
+    )
+    # A key is looked up first: what its first request did counts, even when the
+    # request is quarantined since.
+    run_once = make_claimer(run_attempts=run_unless_quarantined, gate=claims.gate)
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
-        handler=make_application(
-            snapshot=snapshot,
-            run_attempts=make_quarantine_check(run=run_claimed, quarantine=quarantine),
-        ),
+        handler=make_application(snapshot=snapshot, run_attempts=run_once),
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
         max_header_bytes=limits.max_header_bytes,
@@ -201,8 +212,8 @@
         cluster_key=cluster_key,
         processors_by_service={
             OWNER_SERVICE: OwnerProcessor(OwnerHandler(owner=owner)),
-            CLAIMS_SERVICE: ClaimsProcessor(claims.handler),
             PEERS_SERVICE: PeersProcessor(fleet.handler),
+            CLAIMS_SERVICE: ClaimsProcessor(claims.handler),
         },
         max_frame_bytes=max_frame_bytes,
         worker_threads=settings.backend.slots + PEER_CALL_THREADS,
@@ -215,6 +226,8 @@
         owner=owner,
         clock=clock,
     )
+    live_members = LiveMembers(publish=claims.set_members)
+    upkeep = Upkeep(tasks=(transport.close_idle, live_members.publish_changes))
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -224,34 +237,15 @@
         callers=callers,
         peers=peers,
         transport=transport,
+        owner=owner,
         backend=backend,
-        claims=claims,
         quarantine=quarantine,
         prober=prober,
         store=store,
         fleet=fleet,
-    )
-
-
-def _build_claims(
-    platform: PlatformSettings,
-    *,
-    instance: str,
-    store: EtcdGatewayStore,
-    transport: Transport,
-    clock: Clock,
-) -> ClaimsPart:
-    read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
-    reading_store = EtcdGatewayStore(
-        addresses=platform.addresses, timeout_ms=read_timeout_ms, clock=clock
-    )
-    return build_claims(
-        instance=instance,
-        writing_store=store,
-        reading_store=reading_store,
-        read_timeout_ms=read_timeout_ms,
-        transport=transport,
-        clock=clock,
+        claims=claims,
+        live_members=live_members,
+        upkeep=upkeep,
     )
 
 
@@ -279,3 +273,22 @@
         on_probe=lambda healthy, duration_ms: None,
         clock=clock,
     )
+
+
+def _build_claims(
+    platform: PlatformSettings, *, instance: str, transport: Transport, clock: Clock
+) -> ClaimsPart:
+    addresses = [str(address) for address in platform.addresses]
+    read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
+    return build_claims(
+        instance=instance,
+        writing_store=EtcdGatewayStore(
+            addresses=addresses, timeout_ms=platform.timeout_ms, clock=clock
+        ),
+        reading_store=EtcdGatewayStore(
+            addresses=addresses, timeout_ms=read_timeout_ms, clock=clock
+        ),
+        read_timeout_ms=read_timeout_ms,
+        transport=transport,
+        clock=clock,
+    )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/__init__.py
@@ -14,7 +14,7 @@
     "Quarantine",
     "make_application",
     "make_attempter",
-    "make_claimer",
     "make_quarantine_check",
+    "make_claimer",
     "make_retrier",
 ]
