--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -35,7 +35,7 @@
 from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 from vanillapitch_daemon.transport import Transport
-from vanillapitch_daemon.upkeep import LiveMembers, Upkeep
+from vanillapitch_daemon.upkeep import Upkeep
 
 __all__ = ["Daemon", "build_daemon"]
 
@@ -82,8 +82,6 @@
         Membership and configuration.
     claims : ClaimsPart
         Claims of keyed requests.
-    live_members : LiveMembers
-        Members that may commit claims.
     upkeep : Upkeep
         Periodic work.
     """
@@ -103,7 +101,6 @@
     store: EtcdGatewayStore
     fleet: Fleet
     claims: ClaimsPart
-    live_members: LiveMembers
     upkeep: Upkeep
 
 
@@ -186,6 +183,7 @@
     claims = _build_claims(
         settings.platform,
         instance=endpoint.instance,
+        store=store,
         transport=transport,
         clock=clock,
     )
@@ -226,8 +224,7 @@
         owner=owner,
         clock=clock,
     )
-    live_members = LiveMembers(publish=claims.set_members)
-    upkeep = Upkeep(tasks=(transport.close_idle, live_members.publish_changes))
+    upkeep = Upkeep(tasks=(transport.close_idle,))
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -244,7 +241,6 @@
         store=store,
         fleet=fleet,
         claims=claims,
-        live_members=live_members,
         upkeep=upkeep,
     )
 
@@ -276,18 +272,21 @@
 
 
 def _build_claims(
-    platform: PlatformSettings, *, instance: str, transport: Transport, clock: Clock
+    platform: PlatformSettings,
+    *,
+    instance: str,
+    store: EtcdGatewayStore,
+    transport: Transport,
+    clock: Clock,
 ) -> ClaimsPart:
-    addresses = [str(address) for address in platform.addresses]
     read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
+    reading_store = EtcdGatewayStore(
+        addresses=platform.addresses, timeout_ms=read_timeout_ms, clock=clock
+    )
     return build_claims(
         instance=instance,
-        writing_store=EtcdGatewayStore(
-            addresses=addresses, timeout_ms=platform.timeout_ms, clock=clock
-        ),
-        reading_store=EtcdGatewayStore(
-            addresses=addresses, timeout_ms=read_timeout_ms, clock=clock
-        ),
+        writing_store=store,
+        reading_store=reading_store,
         read_timeout_ms=read_timeout_ms,
         transport=transport,
         clock=clock,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/__init__.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/__init__.py
@@ -9,6 +9,7 @@
     RunUnknown,
 )
 from vanillapitch_daemon.claims._part import ClaimsPart, build_claims
+from vanillapitch_daemon.claims._routes import CommitRoutes, make_claims_feed
 from vanillapitch_daemon.claims.exceptions import (
     ClaimsError,
     PeerAnswerLost,
@@ -20,6 +21,7 @@
     "ClaimGate",
     "ClaimsError",
     "ClaimsPart",
+    "CommitRoutes",
     "NotRun",
     "PeerAnswerLost",
     "PeerNotReached",
@@ -27,4 +29,5 @@
     "RunUnknown",
     "ShardsChanged",
     "build_claims",
+    "make_claims_feed",
 ]
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_peers.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_peers.py
@@ -3,7 +3,7 @@
 import concurrent.futures
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import pykka
@@ -246,12 +246,17 @@
     ----------
     local : LocalClaims
         This daemon's own part.
+    refresh : callable
+        Brings this daemon's share of the shards up to date.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, *, local: LocalClaims, clock: Clock):
+    def __init__(
+        self, *, local: LocalClaims, refresh: Callable[[], object], clock: Clock
+    ):
         self._local = local
+        self._refresh = refresh
         self._clock = clock
         self._commit_slots = threading.BoundedSemaphore(MAX_COMMIT_CALLS)
         self._await_slots = threading.BoundedSemaphore(MAX_AWAIT_CALLS)
@@ -266,6 +271,7 @@
             self._commit_slots.release()
 
     def _commit(self, request: CommitRequest) -> CommitReply:
+        self._refresh()
         changes = [_change_of(message) for message in request.changes]
         remaining_ms = min(request.remaining_ms, MAX_COMMIT_MS)
         deadline_ms = self._clock.now_ms() + remaining_ms
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
@@ -29,6 +29,8 @@
         Times in which backend servers must get no new work.
     subjects : set of str
         What has a fault at present.
+    accepted_change_ids : list of str
+        Changes of the tables that operators were told are accepted.
     violations : list of Violation
         Found while a fault is applied or taken back.
     """
@@ -39,6 +41,7 @@
     violations: list[Violation] = dataclasses.field(default_factory=list)
     counters_by_vm: dict[str, list[dict]] = dataclasses.field(default_factory=dict)
     subjects: set[str] = dataclasses.field(default_factory=set)
+    accepted_change_ids: list[str] = dataclasses.field(default_factory=list)
 
     def pick_vm(self, part: str) -> Vm:
         """Choose a VM whose `part` (``backend`` or ``daemon``) has no fault.
@@ -76,11 +79,17 @@
 class ActiveFault:
     """A fault in force; `undo` takes it back, `subject` has one fault at a time."""
 
-    name: str
+    kind: str
+    detail: str
     subject: str
     duration_s: float
     undo: Callable[[], None]
 
+    @property
+    def name(self) -> str:
+        """Kind and detail, for the timeline."""
+        return f"{self.kind} {self.detail}"
+
 
 def _scenario_fault(name: str, make_fields: Callable[[random.Random], dict]):
     def apply(context: FaultContext) -> ActiveFault:
@@ -88,7 +97,8 @@
         fields = make_fields(context.choice)
         _set_scenario(context, vm, **fields)
         return ActiveFault(
-            name=f"{name} {vm.name}",
+            kind=name,
+            detail=vm.name,
             subject=f"backend:{vm.name}",
             duration_s=context.choice.uniform(0.5, 4.0),
             undo=lambda: _set_scenario(context, vm),
@@ -106,7 +116,8 @@
     vm = context.pick_vm("backend")
     context.fleet.turn_cold(vm)
     return ActiveFault(
-        name=f"cold {vm.name}",
+        kind="cold",
+        detail=vm.name,
         subject=f"backend:{vm.name}",
         duration_s=1.0,
         undo=lambda: None,
@@ -118,7 +129,8 @@
     context.keep_counters(vm)
     vm.backend.kill()
     return ActiveFault(
-        name=f"kill backend {vm.name}",
+        kind="kill backend",
+        detail=vm.name,
         subject=f"backend:{vm.name}",
         duration_s=0.1,
         undo=lambda: None,  # the soak starts ended backend servers again
@@ -139,7 +151,8 @@
             fleet.announce_until_taken(vm)
 
     return ActiveFault(
-        name=f"leave {vm.name}",
+        kind="leave",
+        detail=vm.name,
         subject=f"backend:{vm.name}",
         duration_s=context.choice.uniform(4.0, 7.0),
         undo=undo,
@@ -160,7 +173,8 @@
     vm = context.pick_vm("daemon")
     vm.daemon.send_signal(signal.SIGSTOP)
     return ActiveFault(
-        name=f"pause daemon {vm.name}",
+        kind="pause daemon",
+        detail=vm.name,
         subject=f"daemon:{vm.name}",
         duration_s=context.choice.choice([0.3, 1.0, 3.0, 6.0]),
         undo=lambda: vm.daemon.send_signal(signal.SIGCONT),
@@ -171,7 +185,8 @@
     vm = context.pick_vm("daemon")
     vm.daemon.kill()
     return ActiveFault(
-        name=f"kill daemon {vm.name}",
+        kind="kill daemon",
+        detail=vm.name,
         subject=f"daemon:{vm.name}",
         duration_s=context.choice.uniform(0.2, 3.0),
         undo=lambda: context.fleet.restart_daemon(vm),
@@ -192,7 +207,8 @@
         context.fleet.restart_daemon(vm)
 
     return ActiveFault(
-        name=f"stop daemon {vm.name}",
+        kind="stop daemon",
+        detail=vm.name,
         subject=f"daemon:{vm.name}",
         duration_s=context.choice.uniform(1.0, 5.0),
         undo=undo,
@@ -212,7 +228,8 @@
         context.require_free(f"link:{link}")
         fleet.set_faults(link, **make_fields(context.choice))
         return ActiveFault(
-            name=f"{name} {link}",
+            kind=f"{kind} {name}",
+            detail=link,
             subject=f"link:{link}",
             duration_s=context.choice.uniform(0.5, longest_s),
             undo=lambda: fleet.set_faults(link),
@@ -221,6 +238,21 @@
     return apply
 
 
+def _store_fault(name: str, make_fields: Callable[[random.Random], dict]):
+    def apply(context: FaultContext) -> ActiveFault:
+        context.require_free("store")
+        context.fleet.set_store_faults(**make_fields(context.choice))
+        return ActiveFault(
+            kind=f"store {name}",
+            detail="",
+            subject="store",
+            duration_s=context.choice.uniform(0.5, 6.0),
+            undo=context.fleet.set_store_faults,
+        )
+
+    return apply
+
+
 def _cut_link(context: FaultContext) -> ActiveFault:
     fleet = context.fleet
     vm = context.choice.choice([vm for vm in fleet.vms if vm.proxied])
@@ -228,7 +260,11 @@
     context.require_free(f"link:{link}")
     fleet.cut_link(link)
     return ActiveFault(
-        name=f"cut {link}", subject=f"link:{link}", duration_s=0.2, undo=lambda: None
+        kind="cut",
+        detail=link,
+        subject=f"link:{link}",
+        duration_s=0.2,
+        undo=lambda: None,
     )
 
 
@@ -247,7 +283,8 @@
         _zone_in(context, zone)
 
     return ActiveFault(
-        name=f"zone out {zone} ({response.status})",
+        kind="zone out",
+        detail=f"{zone} ({response.status})",
         subject="zones",
         duration_s=context.choice.uniform(4.0, 8.0),
         undo=undo,
@@ -272,9 +309,12 @@
     first, second = _running_vm(context), _running_vm(context)
     statuses: list[int] = []
     base = context.fleet.tables(first)
+    base_ms = base["routes"][0]["timeout_ms"]
     threads = [
-        threading.Thread(target=_change_timeout, args=(context, vm, base, statuses))
-        for vm in (first, second)
+        threading.Thread(
+            target=_change_timeout, args=(context, vm, base, timeout_ms, statuses)
+        )
+        for vm, timeout_ms in ((first, base_ms + 1), (second, base_ms + 2))
     ]
     for thread in threads:
         thread.start()
@@ -284,15 +324,15 @@
         detail = f"two operators changed revision {base['revision']}"
         context.violations.append(Violation(invariant="I9", detail=detail))
     return ActiveFault(
-        name=f"racing operators {sorted(statuses)}",
+        kind="racing operators",
+        detail=str(sorted(statuses)),
         subject="operators",
         duration_s=0.5,
         undo=lambda: None,
     )
 
 
-def _change_timeout(context: FaultContext, vm: Vm, base: dict, statuses) -> None:
-    timeout_ms = 10_000 + threading.get_ident() % 1_000
+def _change_timeout(context, vm: Vm, base: dict, timeout_ms: int, statuses) -> None:
     routes = [dict(route, timeout_ms=timeout_ms) for route in base["routes"]]
     try:
         response = context.fleet.put_tables(vm, base=base, routes=routes)
@@ -300,6 +340,8 @@
         statuses.append(0)
     else:
         statuses.append(response.status)
+        if response.status == 200:
+            context.accepted_change_ids.append(response.json()["change_id"])
 
 
 FAULTS = (
@@ -316,7 +358,11 @@
     _pause_daemon,
     _kill_daemon,
     _stop_daemon,
-    _link_fault("down", ("store",), lambda c: {"refuse": True}, longest_s=6.0),
+    _store_fault("down", lambda c: {"down": c.choice(["refuse", "hang"])}),
+    _store_fault("slow", lambda c: {"slow_ms": c.uniform(100, 2_000)}),
+    _store_fault(
+        "lost writes", lambda c: {"lose_probability": 0.5, "seed": c.randrange(1_000)}
+    ),
     _link_fault(
         "slow",
         ("store", "peers", "gossip"),
