Give up an answer of the store that trickles in

Reading 64 KB at once waits for as long as single bytes arrive: a call with a timeout of 300 ms took 2.2 s in a test. The client now checks its deadline after each part that arrives.

--- a/packages/vanillapitch-platform/src/vanillapitch_platform/gateway.py
+++ b/packages/vanillapitch-platform/src/vanillapitch_platform/gateway.py
@@ -207,7 +207,7 @@
         response = self._open(pool, path, body, remaining_ms)
         document = bytearray()
         try:
-            while chunk := response.read(READ_CHUNK_BYTES):
+            while chunk := response.read1(READ_CHUNK_BYTES):
                 document += chunk
                 if len(document) > MAX_ANSWER_BYTES:
                     raise _AnswerLost("the store's answer is too large")
