--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -6,7 +6,7 @@
 import pykka
 from vanillapitch_core import Clock
 from vanillapitch_core.probes import ProbeBudget
-from vanillapitch_platform import EtcdGatewayStore
+from vanillapitch_platform import EtcdGatewayStore, KeyValueStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
@@ -41,7 +41,7 @@
 from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 from vanillapitch_daemon.transport import Transport
-from vanillapitch_daemon.upkeep import LiveMembers, Upkeep
+from vanillapitch_daemon.upkeep import Upkeep
 
 __all__ = ["Daemon", "build_daemon"]
 
@@ -94,8 +94,6 @@
         Membership and configuration.
     claims : ClaimsPart
         Claims of keyed requests.
-    live_members : LiveMembers
-        Members that may commit claims.
     upkeep : Upkeep
         Periodic work.
     """
@@ -118,7 +116,6 @@
     store: EtcdGatewayStore
     fleet: Fleet
     claims: ClaimsPart
-    live_members: LiveMembers
     upkeep: Upkeep
 
 
@@ -205,6 +202,7 @@
     claims = _build_claims(
         settings.platform,
         instance=endpoint.instance,
+        store=metered_store,
         transport=transport,
         metrics=metrics,
         clock=clock,
@@ -278,8 +276,7 @@
         ),
         address=settings.listen.admin,
     )
-    live_members = LiveMembers(publish=claims.set_members)
-    upkeep = Upkeep(tasks=(transport.close_idle, live_members.publish_changes))
+    upkeep = Upkeep(tasks=(transport.close_idle,))
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -299,7 +296,6 @@
         store=store,
         fleet=fleet,
         claims=claims,
-        live_members=live_members,
         upkeep=upkeep,
     )
 
@@ -335,23 +331,19 @@
     platform: PlatformSettings,
     *,
     instance: str,
+    store: KeyValueStore,
     transport: Transport,
     metrics: Metrics,
     clock: Clock,
 ) -> ClaimsPart:
-    addresses = [str(address) for address in platform.addresses]
     read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
-
-    def make_store(timeout_ms: float) -> MeteredStore:
-        store = EtcdGatewayStore(
-            addresses=addresses, timeout_ms=timeout_ms, clock=clock
-        )
-        return MeteredStore(store=store, metrics=metrics)
-
+    reading_store = EtcdGatewayStore(
+        addresses=platform.addresses, timeout_ms=read_timeout_ms, clock=clock
+    )
     return build_claims(
         instance=instance,
-        writing_store=make_store(platform.timeout_ms),
-        reading_store=make_store(read_timeout_ms),
+        writing_store=store,
+        reading_store=MeteredStore(store=reading_store, metrics=metrics),
         read_timeout_ms=read_timeout_ms,
         transport=transport,
         clock=clock,
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
@@ -32,6 +32,8 @@
 # A quarantine is known to all daemons within this time after the second strike.
 _QUARANTINE_BOUND_MS = 2_000
 _CONVERGED_TIMEOUT_S = 9.0
+# The administration API answers at most 200 revisions; zone changes are among them.
+_HISTORY_ENTRIES = 50
 _MAX_CALLS_PER_SECOND = 1_000
 
 
@@ -41,7 +43,7 @@
 
     seed: int
     calls: list[Call]
-    faults_by_name: dict[str, int]
+    faults_by_kind: dict[str, int]
     violations: list[Violation]
     max_in_flight: int
     cold_failures: int
@@ -123,6 +125,7 @@
         self._undo_all()
         calls = load.join()
         self._check_converged()
+        self._check_history()
         watch.stop()
         return self._result(calls, watch)
 
@@ -145,7 +148,7 @@
             return  # its subject has another fault, or is out of reach by one
         self._context.subjects.add(active.subject)
         self._note(active.name)
-        self._counts[" ".join(active.name.split(" ")[:2])] += 1
+        self._counts[active.kind] += 1
         self._active.append((time.monotonic() + active.duration_s, active))
 
     def _undo(self, fault: ActiveFault) -> bool:
@@ -217,6 +220,15 @@
             violation = Violation(invariant="I9", detail=str(error))
             context.violations.append(violation)
 
+    def _check_history(self) -> None:
+        """Check I9: each change that was accepted is in the history."""
+        context, fleet = self._context, self._fleet
+        known = {entry["change_id"] for entry in fleet.history(fleet.vms[0])}
+        for change_id in context.accepted_change_ids[-_HISTORY_ENTRIES:]:
+            if change_id not in known:
+                detail = f"the accepted change {change_id} is not in the history"
+                context.violations.append(Violation(invariant="I9", detail=detail))
+
     def _check_poison(self, entries) -> list[Violation]:
         runs_by_target: dict[str, list[int]] = {}
         for entry in entries:
@@ -247,7 +259,7 @@
         return SoakResult(
             seed=self._seed,
             calls=calls,
-            faults_by_name=dict(self._counts),
+            faults_by_kind=dict(self._counts),
             violations=violations,
             max_in_flight=max(kept["max_in_flight"] for kept in counters),
             cold_failures=sum(kept["cold_failures"] for kept in counters),
--- a/packages/vanillapitch-wire/idl/claims.thrift
+++ b/packages/vanillapitch-wire/idl/claims.thrift
@@ -17,9 +17,10 @@
   2: required binary current;
 }
 
-// Outcomes in the order of the changes.
+// Outcomes in the order of the changes; none when busy, and then without effect.
 struct CommitReply {
-  1: required list<ChangeOutcomeMessage> outcomes;
+  1: required bool is_busy;
+  2: required list<ChangeOutcomeMessage> outcomes;
 }
 
 struct AwaitRequest {
