--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,7 +5,7 @@
 
 from vanillapitch_core import Clock
 from vanillapitch_core.probes import ProbeBudget
-from vanillapitch_platform import EtcdGatewayStore
+from vanillapitch_platform import EtcdGatewayStore, KeyValueStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
@@ -255,7 +255,6 @@
         metrics=metrics,
         clock=clock,
     )
-    upkeep = Upkeep(tasks=(transport.close_idle,))
     node = Node(
         settings=settings,
         endpoint=endpoint,
@@ -277,6 +276,7 @@
         ),
         address=settings.listen.admin,
     )
+    upkeep = Upkeep(tasks=(transport.close_idle,))
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -331,7 +331,7 @@
     platform: PlatformSettings,
     *,
     instance: str,
-    store: MeteredStore,
+    store: KeyValueStore,
     transport: Transport,
     metrics: Metrics,
     clock: Clock,
