Keep strikes short enough for membership; send one host name from all callers

Cause: membership drops a strike whose fingerprint and id exceed 128 characters. The id held the instance name and the request id, so that with an address like 127.112.143.10:8001 it came to 130 and the quarantine stayed on one daemon: in an end-to-end trial the other three daemons did not know it after 5 s. The load generator sent the daemon's address as host, which made a fingerprint for each daemon.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_quarantine.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_quarantine.py
@@ -1,5 +1,6 @@
 """Quarantine of crashing requests at the ingress."""
 
+import hashlib
 import threading
 from collections.abc import Callable
 
@@ -84,7 +85,7 @@
             Endpoint whose backend server died.
         """
         fingerprint = _fingerprint(request)
-        strike_id = f"{instance}/{request.request_id}"
+        strike_id = _make_strike_id(instance, request.request_id)
         self._merge(Strike(strike_id=strike_id, fingerprint=fingerprint))
         self._share(
             membership.Strike(
@@ -119,6 +120,12 @@
             merge_strikes(self._state, strikes=[strike], now_ms=self._clock.now_ms())
 
 
+def _make_strike_id(instance: str, request_id: str) -> str:
+    # Membership drops strikes beyond the length of two digests, and the length of an
+    # instance name depends on its address.
+    return hashlib.sha256(f"{instance}/{request_id}".encode()).hexdigest()
+
+
 def make_quarantine_check(
     *, run: Callable[[RoutedRequest], Answer], quarantine: Quarantine
 ) -> Callable[[RoutedRequest], Answer]:
--- a/packages/vanillapitch-daemon/tests/test_decisions.py
+++ b/packages/vanillapitch-daemon/tests/test_decisions.py
@@ -1,8 +1,11 @@
 """Tests of the decisions as the actors and the path apply them."""
 
+import dataclasses
+import random
 import socket
 import threading
 import time
+import uuid
 
 import msgspec
 import urllib3
@@ -156,6 +159,29 @@
     assert not one.contains(make_request())
 
 
+def test_strike_fits_into_membership_messages_at_any_address():
+    # Guards against strikes that membership drops because the instance name is long.
+    shared = []
+    quarantine = Quarantine(clock=ManualClock(), share=shared.append)
+    address = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535"
+    request = dataclasses.replace(make_request(), request_id=uuid.uuid4().hex)
+    quarantine.record_crash(request, f"{address}/1796372440489")
+    own = membership.MemberRecord(
+        instance=f"{address}/1796372440489",
+        zone="a",
+        region="r",
+        service="s",
+        inner_address=address,
+        gossip_address=address,
+        state=membership.MemberState.JOINING,
+        version=1,
+        slots=1,
+    )
+    state = membership.make_state(own=own, rng=random.Random(1), now_ms=0.0)
+    membership.handle(state, membership.StrikeRecorded(now_ms=0.0, strike=shared[0]))
+    assert list(state.strikes_by_id.values()) == shared
+
+
 def test_quarantined_request_is_refused_before_it_runs(make_backend, make_daemons):
     # Guards against a quarantine that the request path does not ask.
     backend = make_backend()
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/callers/_call.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/callers/_call.py
@@ -87,7 +87,13 @@
     """
     call.sent_to = address
     call.sent_ms = _CLOCK.wall_ms()
-    all_headers = {"Nonce": call.nonce, "Request-Timeout-Ms": str(timeout_ms)}
+    all_headers = {
+        # The same through every daemon, as from callers that use one name: the
+        # fingerprint of a crashing request covers the host.
+        "Host": "shop.example",
+        "Nonce": call.nonce,
+        "Request-Timeout-Ms": str(timeout_ms),
+    }
     if call.key:
         all_headers["Idempotency-Key"] = call.key
     all_headers.update(headers or {})
