--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -11,6 +11,7 @@
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
 from vanillapitch_wire.peers import PEERS_SERVICE, PeersProcessor
 
+from vanillapitch_daemon.admin import AdminServer, create_app
 from vanillapitch_daemon.claims import ClaimsPart, build_claims
 from vanillapitch_daemon.fleet import Fleet, build_fleet
 from vanillapitch_daemon.ingress import (
@@ -21,9 +22,14 @@
     make_attempter,
     make_claimer,
     make_quarantine_check,
+    make_refuser,
     make_retrier,
 )
+from vanillapitch_daemon.membership import GetMembers
+from vanillapitch_daemon.metered_store import MeteredStore
+from vanillapitch_daemon.metrics import Metrics
 from vanillapitch_daemon.monitor import Monitor
+from vanillapitch_daemon.node import GossipMetrics, Node
 from vanillapitch_daemon.owner import (
     Admission,
     BackendClient,
@@ -76,6 +82,12 @@
         Strikes of crashing requests.
     prober : Prober
         Probes of the backend server.
+    node : Node
+        State of this daemon for operators.
+    metrics : Metrics
+        Metrics of the daemon.
+    admin : AdminServer
+        Administration API.
     store : EtcdGatewayStore
         Client of the platform's store.
     fleet : Fleet
@@ -98,6 +110,9 @@
     backend: BackendClient
     quarantine: Quarantine
     prober: Prober
+    node: Node
+    metrics: Metrics
+    admin: AdminServer
     store: EtcdGatewayStore
     fleet: Fleet
     claims: ClaimsPart
@@ -129,6 +144,8 @@
     )
     cluster_key = settings.secrets.cluster_key.encode()
     max_frame_bytes = limits.max_body_bytes + FRAME_OVERHEAD_BYTES
+    metrics = Metrics()
+    refuse = make_refuser(metrics=metrics)
     snapshot = TablesSnapshot()
     load = LoadSnapshot()
     picker = Picker.start(
@@ -164,13 +181,15 @@
         timeout_ms=settings.platform.timeout_ms,
         clock=clock,
     )
+    metered_store = MeteredStore(store=store, metrics=metrics)
     fleet = build_fleet(
         settings,
         instance=endpoint.instance,
-        store=store,
+        store=metered_store,
         transport=transport,
         snapshot=snapshot,
         clock=clock,
+        meter=GossipMetrics(metrics=metrics),
     )
     attempt = make_attempter(
         picker=picker,
@@ -183,12 +202,16 @@
     claims = _build_claims(
         settings.platform,
         instance=endpoint.instance,
-        store=store,
+        store=metered_store,
         transport=transport,
+        metrics=metrics,
         clock=clock,
     )
     run_attempts = make_retrier(
-        attempt=attempt, clock=clock, record_crash=quarantine.record_crash
+        attempt=attempt,
+        clock=clock,
+        record_crash=quarantine.record_crash,
+        count_retry=metrics.count_retry,
     )
     run_unless_quarantined = make_quarantine_check(
         run=run_attempts, quarantine=quarantine
@@ -198,7 +221,14 @@
     run_once = make_claimer(run_attempts=run_unless_quarantined, gate=claims.gate)
     callers = CallerServer(
         address=(settings.listen.callers.host, settings.listen.callers.port),
-        handler=make_application(snapshot=snapshot, run_attempts=run_once),
+        handler=make_application(
+            snapshot=snapshot,
+            run_attempts=run_once,
+            refuse=refuse,
+            metrics=metrics,
+            clock=clock,
+        ),
+        refuse=refuse,
         clock=clock,
         memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
         max_header_bytes=limits.max_header_bytes,
@@ -222,9 +252,31 @@
         backend=backend,
         load=load,
         owner=owner,
+        metrics=metrics,
         clock=clock,
     )
     upkeep = Upkeep(tasks=(transport.close_idle,))
+    node = Node(
+        settings=settings,
+        endpoint=endpoint,
+        admission=admission,
+        load=load,
+        snapshot=snapshot,
+        metrics=metrics,
+        clock=clock,
+        read_members=lambda: fleet.membership.ask(GetMembers()),
+        announce_state=fleet.announce,
+        read_store_state=lambda: metered_store.state,
+    )
+    admin = AdminServer(
+        application=create_app(
+            node=node,
+            configuration=fleet.admin_configuration,
+            metrics=metrics,
+            admin_token=settings.secrets.admin_token,
+        ),
+        address=settings.listen.admin,
+    )
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -238,6 +290,9 @@
         backend=backend,
         quarantine=quarantine,
         prober=prober,
+        node=node,
+        metrics=metrics,
+        admin=admin,
         store=store,
         fleet=fleet,
         claims=claims,
@@ -252,6 +307,7 @@
     backend: BackendClient,
     load: LoadSnapshot,
     owner: Owner,
+    metrics: Metrics,
     clock: Clock,
 ) -> Prober:
     budget = ProbeBudget(
@@ -266,7 +322,7 @@
         budget=budget,
         health_path=settings.backend.health_path,
         last_answer_at_ms=lambda: owner.last_answer_at_ms,
-        on_probe=lambda healthy, duration_ms: None,
+        on_probe=lambda healthy, duration_ms: metrics.add_probe_ms(duration_ms),
         clock=clock,
     )
 
@@ -275,8 +331,9 @@
     platform: PlatformSettings,
     *,
     instance: str,
-    store: EtcdGatewayStore,
+    store: MeteredStore,
     transport: Transport,
+    metrics: Metrics,
     clock: Clock,
 ) -> ClaimsPart:
     read_timeout_ms = min(READ_BACK_TIMEOUT_MS, platform.timeout_ms)
@@ -286,8 +343,9 @@
     return build_claims(
         instance=instance,
         writing_store=store,
-        reading_store=reading_store,
+        reading_store=MeteredStore(store=reading_store, metrics=metrics),
         read_timeout_ms=read_timeout_ms,
         transport=transport,
         clock=clock,
+        count_event=metrics.count_claim,
     )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_server.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_server.py
@@ -5,7 +5,6 @@
 of the latency that it adds.
 """
 
-import logging
 import socket
 import threading
 from collections.abc import Callable
@@ -17,6 +16,8 @@
 from vanillapitch_daemon.ingress._connection import CallerConnection, Interest
 from vanillapitch_daemon.ingress._memory import BodyMemory
 from vanillapitch_daemon.ingress._parser import RequestParser, make_adjustments
+from vanillapitch_daemon.ingress._problem import Refuser
+from vanillapitch_daemon.logs import get_log
 
 __all__ = ["CallerServer"]
 
@@ -25,7 +26,7 @@
 MAINTENANCE_INTERVAL_S = 0.5
 DRAIN_INTERVAL_S = 0.02
 
-_log = logging.getLogger("vanillapitch.ingress")
+_log = get_log("ingress")
 
 Handler = Callable[[CallerRequest], Response]
 
@@ -39,6 +40,8 @@
         IP address and port.
     handler : callable
         Turns a `CallerRequest` into a `Response`; called on worker threads.
+    refuse : callable
+        Turns the refusal of an invalid request into a `Response`.
     clock : Clock
         Source of time.
     memory : BodyMemory
@@ -54,6 +57,7 @@
         *,
         address: tuple[str, int],
         handler: Handler,
+        refuse: Refuser,
         clock: Clock,
         memory: BodyMemory,
         max_header_bytes: int,
@@ -62,6 +66,7 @@
     ):
         self.clock = clock
         self.handle = handler
+        self.refuse = refuse
         self._memory = memory
         self.adj = make_adjustments(
             max_header_bytes=max_header_bytes, max_body_bytes=max_body_bytes
@@ -124,7 +129,7 @@
             except OSError:
                 if self._draining.is_set():
                     return
-                _log.exception("ingress: accept failed")
+                _log.exception("Could not accept a connection")
                 continue
             self._add(sock)
 
@@ -137,7 +142,7 @@
             if not full:
                 self._connections.add(connection)
         if full:
-            _log.warning("ingress: connection limit reached")
+            _log.warning("The connection limit is reached")
             connection.close()
             return
         self._pool.add(sock, lambda: self._serve(connection))
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -2,7 +2,6 @@
 
 import argparse
 import gc
-import logging
 import signal
 import sys
 import threading
@@ -13,6 +12,7 @@
 
 from vanillapitch_daemon.assembly import Daemon, build_daemon
 from vanillapitch_daemon.claims import make_claims_feed
+from vanillapitch_daemon.logs import configure_logs, get_log
 from vanillapitch_daemon.membership import make_picker_feed
 from vanillapitch_daemon.owner import SetState
 from vanillapitch_daemon.picker import EndpointChanged
@@ -29,7 +29,7 @@
 # does not take leaves a claim whose later senders are answered `outcome_unknown`.
 RECORD_TIMEOUT_MS = 5_000
 
-_log = logging.getLogger("vanillapitch.main")
+_log = get_log("main")
 
 
 def main(arguments: list[str] | None = None) -> None:
@@ -65,6 +65,8 @@
     int
         Exit code.
     """
+    secrets = settings.secrets
+    configure_logs(secrets=(secrets.cluster_key, secrets.admin_token))
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
@@ -89,6 +91,7 @@
         The parts.
     """
     daemon.picker.tell(EndpointChanged(endpoint=daemon.endpoint))
+    daemon.admin.start()
     daemon.peers.start()
     daemon.prober.start()
     daemon.callers.start()
@@ -100,7 +103,8 @@
     daemon.upkeep.start()
     daemon.fleet.start(feed_picker=make_picker_feed(daemon.picker))
     daemon.fleet.announce(MemberState.ALIVE)
-    _log.info("main: started instance=%s", daemon.endpoint.instance)
+    daemon.node.mark_started()
+    _log.info("Started", instance=daemon.endpoint.instance)
 
 
 def stop_daemon(daemon: Daemon, *, drain_timeout_ms: int) -> int:
@@ -119,7 +123,8 @@
         Exit code: 0 when every request was answered. Results of claims that the
         store does not take in time leave claims that answer `outcome_unknown`.
     """
-    _log.info("main: draining")
+    _log.info("Draining", timeout_ms=drain_timeout_ms)
+    daemon.node.mark_draining()
     daemon.fleet.announce(MemberState.LEAVING)
     daemon.admission.ask(SetState(state="leaving"))
     daemon.callers.drain()
@@ -128,6 +133,7 @@
     remaining_s = max(0.0, deadline_s - time.monotonic())
     drained = daemon.peers.wait_until_quiet(PEERS_QUIET_S, remaining_s) and drained
     daemon.prober.stop()
+    daemon.admin.stop()
     daemon.upkeep.stop()
     daemon.fleet.stop()
     recorded = daemon.claims.stop(RECORD_TIMEOUT_MS)
@@ -137,5 +143,5 @@
     daemon.store.close()
     daemon.picker.stop()
     daemon.admission.stop()
-    _log.info("main: stopped drained=%s recorded=%s", drained, recorded)
+    _log.info("Stopped", drained=drained, recorded=recorded)
     return 0 if drained else EXIT_FAILED
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/metrics.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/metrics.py
@@ -5,11 +5,12 @@
 """
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 from vanillapitch_core.outcome import RefusalCode
+from vanillapitch_core.retries import RetryReason
 
 __all__ = ["LATENCY_BUCKETS_MS", "Metrics"]
 
@@ -40,10 +41,13 @@
 
     def __init__(self):
         self._lock = threading.Lock()
+        self._samplers: list[Callable[[], None]] = []
         self._registry = Registry()
         self._calls = self._counter("calls_total", "Calls from callers by pool")
         self._refusals = self._counter("refusals_total", "Refusals by code")
-        self._retries = self._counter("retries_total", "Retries and hedges by reason")
+        self._retries = self._counter(
+            "retries_total", "Decisions after a failed attempt by reason"
+        )
         self._in_flight = self._gauge("in_flight", "Requests in flight by role")
         self._limit = self._gauge("limit", "Current admission limit of the endpoint")
         self._members = self._gauge("members", "Members by state")
@@ -57,6 +61,9 @@
         self._gossip_bytes = self._counter(
             "gossip_bytes_total", "Bytes of membership messages by direction"
         )
+        self._gossip_drops = self._counter(
+            "gossip_dropped_total", "Membership messages that were dropped by reason"
+        )
         self._probe_ms = self._counter(
             "probe_ms_total", "Milliseconds of backend server time spent on probes"
         )
@@ -69,6 +76,30 @@
         # A rate over a counter needs its first sample before the first refusal.
         for code in RefusalCode:
             self._refusals.set({"code": code.value}, 0)
+        for reason in RetryReason:
+            self._retries.set({"reason": reason.value}, 0)
+
+    def add_sampler(self, sampler: Callable[[], None]) -> None:
+        """Register a function that sets gauges before each rendering.
+
+        Parameters
+        ----------
+        sampler : callable
+            Called without arguments from the thread that renders.
+        """
+        self._samplers.append(sampler)
+
+    def set_in_flight(self, role: str, count: int) -> None:
+        """Set the number of requests in flight.
+
+        Parameters
+        ----------
+        role : str
+            ``ingress`` or ``owner``.
+        count : int
+            Requests in flight.
+        """
+        self._set(self._in_flight, {"role": role}, count)
 
     def count_call(self, pool: str) -> None:
         """Count a call that matched a route.
@@ -91,7 +122,7 @@
         self._add(self._refusals, {"code": code.value}, 1)
 
     def count_retry(self, reason: str) -> None:
-        """Count a retry or a hedge.
+        """Count a decision after a failed attempt.
 
         Parameters
         ----------
@@ -180,6 +211,16 @@
         """
         self._add(self._gossip_bytes, {"direction": direction}, size_bytes)
 
+    def count_gossip_drop(self, reason: str) -> None:
+        """Count a membership message that was dropped.
+
+        Parameters
+        ----------
+        reason : str
+            Fixed text of the reason, for example ``hmac`` or ``age``.
+        """
+        self._add(self._gossip_drops, {"reason": reason}, 1)
+
     def add_probe_ms(self, duration_ms: float) -> None:
         """Count time that a probe took from the backend server.
 
@@ -211,6 +252,8 @@
         bytes
             The body of ``GET /metrics``.
         """
+        for sampler in self._samplers:
+            sampler()
         with self._lock:
             body, _ = render(self._registry, [])
         return body
