--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
@@ -91,6 +91,7 @@
         self._restart_at_s: dict[str, float] = {}
         self._started_s = 0.0
         self._stop = threading.Event()
+        self._poison_calls: list[Call] = []
 
     def run(self) -> SoakResult:
         fleet = self._fleet
@@ -207,6 +208,7 @@
                 vm = choice.choice(self._fleet.vms)
                 call = Call(service=service.name, method="GET", target=target)
                 send(pool, call, address=vm.callers, timeout_ms=2_000)
+                self._poison_calls.append(call)
                 if self._stop.wait(_POISON_INTERVAL_S):
                     return
 
@@ -242,7 +244,13 @@
                 if at_ms > began_ms[1] + _QUARANTINE_BOUND_MS
             ]
             if late:
-                detail = f"{target} ran {len(began_ms)} times, {len(late)} too late"
+                detail = f"{target} ran {len(began_ms)} times, {len(late)} too late; "
+                detail += ", ".join(
+                    f"{call.code or call.status} by {call.sent_to} at {call.sent_ms}"
+                    for call in self._poison_calls
+                    if call.target == target
+                )
+                detail += f"; runs at {began_ms}"
                 violations.append(Violation(invariant="quarantine", detail=detail))
         return violations
 
--- /dev/null
+++ b/tests/integration/test_operations.py
@@ -0,0 +1,164 @@
+"""End-to-end tests of zones, leaving, shutdown, restarts and operators."""
+
+import signal
+import socket
+import threading
+import time
+
+import pytest
+import urllib3
+from vanillapitch_testbed.checks import LEAVE_BOUND_MS
+
+pytestmark = pytest.mark.integration
+
+
+@pytest.fixture
+def reading(fleet, call):
+    """Send reads through all daemons in the background, until the test ends."""
+    stop = threading.Event()
+
+    def read():
+        index = 0
+        while not stop.wait(0.01):
+            index += 1
+            vm = fleet.vms[index % len(fleet.vms)]
+            if vm.daemon.is_running():
+                call("/catalog/item", vm=vm, timeout_ms=3_000)
+
+    threads = [threading.Thread(target=read, daemon=True) for _ in range(3)]
+    for thread in threads:
+        thread.start()
+    yield
+    stop.set()
+    for thread in threads:
+        thread.join(10)
+
+
+def began_after(fleet, names, since_ms):
+    return [
+        run.began_ms - since_ms
+        for run in fleet.journal()
+        if run.server in names and run.began_ms > since_ms
+    ]
+
+
+def revision_of(fleet, vm):
+    return (fleet.status(vm) or {}).get("revision", 0)
+
+
+def wall_ms():
+    return time.time_ns() // 1_000_000
+
+
+def test_a_zone_out_of_service_gets_no_new_work(fleet, reading, within):
+    # Guards against work in a zone that operators have taken out of service (I3).
+    zone = fleet.vms[0].zone
+    names = {vm.name for vm in fleet.vms if vm.zone == zone}
+    assert within(lambda: began_after(fleet, names, 0), timeout_s=5)
+    assert fleet.set_zone(zone, in_service=False).status == 200
+    out_ms = wall_ms()
+    time.sleep(5)
+    late = [age for age in began_after(fleet, names, out_ms) if age > LEAVE_BOUND_MS]
+    assert not late
+    assert fleet.set_zone(zone, in_service=True).status == 200
+    in_ms = wall_ms()
+    assert within(lambda: began_after(fleet, names, in_ms), timeout_s=5)
+
+
+def test_a_leaving_endpoint_gets_no_new_work(fleet, reading, within):
+    # Guards against work on a backend server that has started to leave (I7).
+    vm = fleet.vms[0]
+    assert within(lambda: began_after(fleet, {vm.name}, 0), timeout_s=5)
+    fleet.announce(vm, "leaving")
+    left_ms = wall_ms()
+    time.sleep(5)
+    late = [
+        age for age in began_after(fleet, {vm.name}, left_ms) if age > LEAVE_BOUND_MS
+    ]
+    assert not late
+    fleet.announce(vm, "ready")
+    back_ms = wall_ms()
+    assert within(lambda: began_after(fleet, {vm.name}, back_ms), timeout_s=5)
+
+
+def test_shutdown_finishes_uploads_that_are_in_flight(
+    fleet, call, in_background, within
+):
+    # Guards against a planned stop that cuts a request (I8).
+    vm = fleet.vms[0]
+    body = b"x" * 3_000_000
+    uploads = [
+        in_background(
+            call, "/catalog/file?work_ms=1500", vm=vm, method="PUT", body=body
+        )
+        for _ in range(3)
+    ]
+    slow = in_background(upload_slowly, vm.callers, body)
+    time.sleep(0.6)
+    vm.daemon.send_signal(signal.SIGTERM)
+    vm.daemon.send_signal(signal.SIGTERM)
+    assert [upload().status for upload in uploads] == [200] * 3
+    assert slow().startswith(b"HTTP/1.1 200")
+    assert vm.daemon.wait(15) == 0
+
+
+def upload_slowly(address, body, *, pieces=20, duration_s=2.0):
+    """Send a body over a time, as a caller with a slow link does."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 10) as connection:
+        head = f"PUT /catalog/file HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}"
+        connection.sendall(head.encode() + b"\r\n\r\n")
+        size = len(body) // pieces
+        for index in range(pieces):
+            begin = index * size
+            end = len(body) if index == pieces - 1 else begin + size
+            connection.sendall(body[begin:end])
+            time.sleep(duration_s / pieces)
+        return connection.recv(65_536)
+
+
+def test_a_daemon_that_starts_while_the_store_is_down_serves(fleet, call, within):
+    # Guards against an outage of the store that grows with each restart.
+    vm = fleet.vms[0]
+    revision = fleet.status(fleet.vms[1])["revision"]
+    vm.daemon.kill()
+    fleet.set_store_faults(down="refuse")
+    fleet.restart_daemon(vm)
+    assert within(lambda: revision_of(fleet, vm) >= revision, timeout_s=9)
+    assert within(lambda: call("/catalog/item", vm=vm).status == 200, timeout_s=5)
+
+
+def test_of_two_racing_operators_one_wins(fleet, in_background, within):
+    # Guards against an accepted change that another one overwrites (I9).
+    base = fleet.tables(fleet.vms[0])
+    fleet.set_store_faults(slow_ms=300)
+
+    def change(vm, timeout_ms):
+        routes = [dict(route, timeout_ms=timeout_ms) for route in base["routes"]]
+        return fleet.put_tables(vm, base=base, routes=routes)
+
+    changes = [in_background(change, fleet.vms[i], 9_000 + i) for i in range(2)]
+    responses = [result() for result in changes]
+    assert sorted(response.status for response in responses) == [200, 409]
+    accepted = next(one for one in responses if one.status == 200).json()["tables"]
+    assert accepted["revision"] == base["revision"] + 1
+
+    def is_in_force(vm):
+        return revision_of(fleet, vm) == accepted["revision"]
+
+    assert within(lambda: all(map(is_in_force, fleet.vms)), timeout_s=3)
+    tables = fleet.tables(fleet.vms[2])
+    assert tables["routes"] == accepted["routes"]
+
+
+def test_the_administration_needs_the_token(fleet):
+    # Guards against tables and zones that anyone can change.
+    address = fleet.vms[0].admin
+    for method, path in (("GET", "/v1/tables"), ("PUT", "/v1/zones/gb-a")):
+        response = urllib3.request(
+            method,
+            f"http://{address}{path}",
+            headers={"Authorization": "Bearer wrong"},
+            json={"in_service": False} if method == "PUT" else None,
+        )
+        assert response.status == 401
