--- a/tests/integration/test_keyed_processes.py
+++ b/tests/integration/test_keyed_processes.py
@@ -2,6 +2,7 @@
 
 import collections
 import concurrent.futures
+import contextlib
 import http.server
 import signal
 import socket
@@ -27,8 +28,16 @@
 
 
 def free_address():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return "{}:{}".format(*sock.getsockname())
+    """Return an address that is free for TCP and for UDP."""
+    while True:
+        with (
+            socket.create_server(("127.0.0.1", 0)) as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            host, port = stream.getsockname()
+            with contextlib.suppress(OSError):
+                datagrams.bind((host, port))
+                return f"{host}:{port}"
 
 
 class Backend(http.server.ThreadingHTTPServer):
