--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -3,10 +3,9 @@
 import dataclasses
 import random
 
-import pykka
 from vanillapitch_core import Clock
 from vanillapitch_core.probes import ProbeBudget
-from vanillapitch_platform import EtcdGatewayStore, KeyValueStore
+from vanillapitch_platform import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
@@ -29,6 +28,7 @@
 from vanillapitch_daemon.membership import GetMembers
 from vanillapitch_daemon.metered_store import MeteredStore
 from vanillapitch_daemon.metrics import Metrics
+from vanillapitch_daemon.monitor import Monitor
 from vanillapitch_daemon.node import GossipMetrics, Node
 from vanillapitch_daemon.owner import (
     Admission,
@@ -66,7 +66,7 @@
         Tables in force.
     load : LoadSnapshot
         Load of this daemon's endpoint.
-    picker, admission : pykka.ActorRef
+    picker, admission : Monitor
         The actors on the request path.
     callers : CallerServer
         HTTP towards callers.
@@ -101,8 +101,8 @@
     endpoint: Endpoint
     snapshot: TablesSnapshot
     load: LoadSnapshot
-    picker: pykka.ActorRef
-    admission: pykka.ActorRef
+    picker: Monitor
+    admission: Monitor
     callers: CallerServer
     peers: Server
     transport: Transport
@@ -255,6 +255,7 @@
         metrics=metrics,
         clock=clock,
     )
+    upkeep = Upkeep(tasks=(transport.close_idle,))
     node = Node(
         settings=settings,
         endpoint=endpoint,
@@ -276,7 +277,6 @@
         ),
         address=settings.listen.admin,
     )
-    upkeep = Upkeep(tasks=(transport.close_idle,))
     return Daemon(
         endpoint=endpoint,
         snapshot=snapshot,
@@ -303,7 +303,7 @@
 def _build_prober(
     settings: Settings,
     *,
-    admission: pykka.ActorRef,
+    admission: Monitor,
     backend: BackendClient,
     load: LoadSnapshot,
     owner: Owner,
@@ -331,7 +331,7 @@
     platform: PlatformSettings,
     *,
     instance: str,
-    store: KeyValueStore,
+    store: MeteredStore,
     transport: Transport,
     metrics: Metrics,
     clock: Clock,
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/store/__main__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/store/__main__.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import queue
 import signal
 import sys
 import threading
@@ -23,14 +24,15 @@
     arguments = parser.parse_args()
     host, _, port = arguments.listen.rpartition(":")
     control_host, _, control_port = arguments.control.rpartition(":")
-    stopped = threading.Event()
+    # `Event.set` in a handler can deadlock with `Event.wait` in the main thread.
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+        signal.signal(number, lambda received, _: signals.put(received))
     gateway = Gateway(host=host, port=int(port), clock=SystemClock())
     control = ControlServer(host=control_host, port=int(control_port), gateway=gateway)
     threading.Thread(target=control.serve_forever, daemon=True).start()
     print(f"listening on {gateway.address}, control on {control.address}", flush=True)
-    stopped.wait()
+    signals.get()
     gateway.stop()
     return 0
 
