--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/main.py
@@ -2,10 +2,11 @@
 
 import argparse
 import gc
+import queue
 import signal
 import sys
-import threading
 import time
+from collections.abc import Callable
 
 from vanillapitch_core import SystemClock
 from vanillapitch_core.membership import MemberChanged, MemberState, StrikeHeard
@@ -67,9 +68,7 @@
     """
     secrets = settings.secrets
     configure_logs(secrets=(secrets.cluster_key, secrets.admin_token))
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+    wait_for_stop = install_stop_signals()
     try:
         daemon = build_daemon(settings, clock=SystemClock())
     except OSError as error:
@@ -78,10 +77,30 @@
     start_daemon(daemon)
     # Objects made at start live as long as the process; full collections skip them.
     gc.freeze()
-    stopping.wait()
+    wait_for_stop()
     return stop_daemon(daemon, drain_timeout_ms=settings.limits.drain_timeout_ms)
 
 
+def install_stop_signals() -> Callable[[], None]:
+    """Handle SIGTERM and SIGINT from now on.
+
+    Returns
+    -------
+    callable
+        Waits for the first signal; later ones change nothing.
+    """
+    # A handler interrupts the main thread anywhere. `SimpleQueue.put` is reentrant;
+    # `Event.set` deadlocks when the main thread is inside `Event.wait` with its lock.
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda received, _: signals.put(received))
+
+    def wait_for_stop() -> None:
+        signals.get()
+
+    return wait_for_stop
+
+
 def start_daemon(daemon: Daemon) -> None:
     """Start the servers of a daemon.
 
--- a/packages/vanillapitch-daemon/tests/test_observability.py
+++ b/packages/vanillapitch-daemon/tests/test_observability.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 import msgspec
@@ -154,3 +155,22 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     )
     assert finished.stdout.strip() == "set()"
+
+
+def test_repeated_stop_signals_change_nothing():
+    # Guards against a main thread that a second SIGTERM leaves hanging.
+    code = (
+        "from vanillapitch_daemon.main import install_stop_signals\n"
+        "for _ in range(200):\n"
+        "    wait_for_stop = install_stop_signals()\n"
+        "    print('waiting', flush=True)\n"
+        "    wait_for_stop()\n"
+    )
+    process = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE)
+    watchdog = threading.Timer(30, process.kill)
+    watchdog.start()
+    while process.stdout.readline():
+        for _ in range(30):
+            process.send_signal(signal.SIGTERM)
+    assert process.wait() in (0, -signal.SIGTERM)
+    watchdog.cancel()
