Add a benchmark of picking against random, round robin and least in flight

No measurement compared the picking policy with simple ones on real daemons. Baselines run through a launcher of the testbed, so that the daemon gets no setting for the policy.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/backend/_control.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/backend/_control.py
@@ -39,7 +39,7 @@
     """Answers requests on the control address.
 
     ``GET /stats``, ``GET /journal?from=N``, ``GET|PUT /scenario``, ``POST /cold``,
-    ``PUT /announce``.
+    ``POST /max-in-flight/reset``, ``PUT /announce``.
     """
 
     def __init__(self, *, server: BackendServer):
@@ -72,6 +72,9 @@
         elif route == ("POST", "/cold"):
             server.turn_cold()
             _respond(connection, {"warmth": server.warmth})
+        elif route == ("POST", "/max-in-flight/reset"):
+            server.counters.max_in_flight = server.in_flight
+            _respond(connection, {"max_in_flight": server.in_flight})
         elif route == ("PUT", "/announce"):
             announcement = msgspec.json.decode(request.body, type=Announcement)
             task = asyncio.ensure_future(self._announce(connection, announcement))
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_caller.py
@@ -0,0 +1,143 @@
+"""One caller process of the benchmark.
+
+It reads a job as JSON from its standard input, says that it is ready, waits for a
+line and then sends calls at Poisson arrival times, which do not depend on the answers
+unless all threads are busy. The results go to the standard output.
+"""
+
+import random
+import sys
+import threading
+import time
+
+import msgspec
+import urllib3
+
+from vanillapitch_testbed.callers import Call, send
+
+__all__ = ["Job", "Sample"]
+
+_MAX_CALLS = 20_000
+_MAX_CONNECTIONS_TO_ADDRESS = 64
+
+
+class Job(msgspec.Struct, kw_only=True):
+    """What a caller process sends.
+
+    Attributes
+    ----------
+    addresses : list of str
+        Addresses that calls go to, chosen at random.
+    compared_addresses : list of str
+        If not empty, each call is followed by one to these addresses; the two
+        alternate in the same thread, so that both meet the same noise.
+    threads : int
+        Upper bound of calls at the same time.
+    """
+
+    service: str
+    target: str
+    addresses: list[str]
+    compared_addresses: list[str] = []
+    rate_per_s: float = 100.0
+    duration_s: float = 6.0
+    threads: int = 32
+    timeout_ms: int = 5_000
+    seed: int = 1
+
+
+class Sample(msgspec.Struct, kw_only=True, array_like=True):
+    """One call.
+
+    Attributes
+    ----------
+    at_s : float
+        Arrival time since the start of the load.
+    lag_ms : float
+        Delay of the send after its arrival time.
+    reason : str
+        Refusal code, status or fault of a call without a good answer; else empty.
+    compared : bool
+        Whether the call went to a compared address.
+    """
+
+    at_s: float
+    lag_ms: float
+    latency_ms: float
+    reason: str = ""
+    compared: bool = False
+
+
+class _Arrivals:
+    """Arrival times that the threads take in turn."""
+
+    def __init__(self, job: Job):
+        self._lock = threading.Lock()
+        self._choice = random.Random(job.seed)
+        self._job = job
+        self._at_s = 0.0
+        self._calls = 0
+
+    def take(self) -> tuple[float, int] | None:
+        with self._lock:
+            self._at_s += self._choice.expovariate(self._job.rate_per_s)
+            self._calls += 1
+            if self._at_s > self._job.duration_s or self._calls > _MAX_CALLS:
+                return None
+            return self._at_s, self._calls
+
+
+def _run(job: Job) -> list[Sample]:
+    pool = urllib3.PoolManager(maxsize=_MAX_CONNECTIONS_TO_ADDRESS, num_pools=64)
+    arrivals = _Arrivals(job)
+    samples: list[Sample] = []
+    started_s = time.perf_counter()
+
+    def work() -> None:
+        while (arrival := arrivals.take()) is not None:
+            at_s, number = arrival
+            choice = random.Random(f"{job.seed}/{number}")
+            time.sleep(max(0.0, started_s + at_s - time.perf_counter()))
+            samples.append(_send(job, pool, choice.choice(job.addresses), at_s))
+            if job.compared_addresses:
+                address = choice.choice(job.compared_addresses)
+                samples.append(_send(job, pool, address, at_s, compared=True))
+
+    def _send(job, pool, address, at_s, compared=False) -> Sample:
+        lag_ms = (time.perf_counter() - started_s - at_s) * 1_000
+        call = Call(service=job.service, method="GET", target=job.target)
+        send(pool, call, address=address, timeout_ms=job.timeout_ms)
+        return Sample(
+            at_s=at_s,
+            lag_ms=max(0.0, lag_ms),
+            latency_ms=call.latency_ms,
+            reason=_reason(call),
+            compared=compared,
+        )
+
+    threads = [threading.Thread(target=work) for _ in range(job.threads)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return samples
+
+
+def _reason(call: Call) -> str:
+    if call.code:
+        return call.code
+    if call.status >= 400:
+        return f"status {call.status}"
+    return "wrong answer" if call.fault else ""
+
+
+def _main() -> None:
+    job = msgspec.json.decode(sys.stdin.buffer.readline(), type=Job)
+    print("ready", flush=True)
+    sys.stdin.buffer.readline()
+    samples = _run(job)
+    sys.stdout.buffer.write(msgspec.json.encode(samples) + b"\n")
+
+
+if __name__ == "__main__":
+    _main()
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_load.py
@@ -0,0 +1,69 @@
+"""Caller processes that start together."""
+
+import subprocess
+import sys
+
+import msgspec
+
+from vanillapitch_testbed.bench._caller import Job, Sample
+
+__all__ = ["CallerProcesses"]
+
+_MARGIN_S = 20.0
+_SAMPLES = msgspec.json.Decoder(list[Sample])
+
+
+class CallerProcesses:
+    """Caller processes with one job each.
+
+    Parameters
+    ----------
+    jobs : list of Job
+        The jobs.
+    """
+
+    def __init__(self, *, jobs: list[Job]):
+        self._jobs = jobs
+        command = [sys.executable, "-m", "vanillapitch_testbed.bench._caller"]
+        self._processes = [
+            subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            for _ in jobs
+        ]
+
+    def __enter__(self) -> "CallerProcesses":
+        """Wait until all callers are ready, then start the load."""
+        for process, job in zip(self._processes, self._jobs, strict=True):
+            process.stdin.write(msgspec.json.encode(job) + b"\n")
+            process.stdin.flush()
+        for process in self._processes:
+            process.stdout.readline()
+        for process in self._processes:
+            process.stdin.write(b"start\n")
+            process.stdin.flush()
+        return self
+
+    def __exit__(self, exc_type, exc_value, traceback) -> None:
+        """End callers that still run."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            process.stdin.close()
+            process.stdout.close()
+
+    def join(self) -> list[Sample]:
+        """Wait for the end of the load and return all samples by arrival.
+
+        Raises
+        ------
+        RuntimeError
+            If a caller process fails.
+        """
+        samples = []
+        for process, job in zip(self._processes, self._jobs, strict=True):
+            bound_s = job.duration_s + job.timeout_ms / 1_000 + _MARGIN_S
+            output, _ = process.communicate(timeout=bound_s)
+            if process.returncode:
+                raise RuntimeError(f"a caller ended with code {process.returncode}")
+            samples += _SAMPLES.decode(output)
+        return sorted(samples, key=lambda sample: sample.at_s)
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_run.py
@@ -0,0 +1,152 @@
+"""Run of all scenarios with all policies."""
+
+import contextlib
+import dataclasses
+import sys
+import time
+from collections.abc import Iterator, Sequence
+
+from vanillapitch_testbed.bench._added import measure_added_latency
+from vanillapitch_testbed.bench._caller import Job
+from vanillapitch_testbed.bench._counters import read_counters
+from vanillapitch_testbed.bench._figures import Measured, make_figures, make_timelines
+from vanillapitch_testbed.bench._load import CallerProcesses
+from vanillapitch_testbed.bench._model import Report
+from vanillapitch_testbed.bench._policy_daemon import POLICIES_BY_NAME
+from vanillapitch_testbed.bench._scenarios import (
+    DEPLOYMENT,
+    SCENARIOS,
+    SERVICE,
+    STEADY,
+    Scenario,
+)
+from vanillapitch_testbed.bench._targets import judge
+from vanillapitch_testbed.fleet import Fleet
+
+__all__ = ["PRODUCT", "BenchOptions", "run_bench"]
+
+PRODUCT = "product"
+_THREADS_OF_CALLER = 40
+_SETTLE_S = 0.5
+_BACKEND_OPTIONS = {"service_shape": "lognormal"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BenchOptions:
+    """What is run, and for how long.
+
+    Attributes
+    ----------
+    policies : sequence of str
+        Names of baselines beside the product.
+    warm_up_s : float
+        Load before the measurement, with the fault in place; its calls are counted
+        apart.
+    added_s : float
+        Length of each comparison with direct calls; 0 leaves it out.
+    """
+
+    scenarios: Sequence[Scenario] = SCENARIOS
+    policies: Sequence[str] = tuple(POLICIES_BY_NAME)
+    warm_up_s: float = 2.0
+    measured_s: float = 6.0
+    added_s: float = 10.0
+    seed: int = 1
+
+
+def run_bench(options: BenchOptions) -> Report:
+    """Run the benchmark.
+
+    All fleets run at the same time, and one of them at a time has load: a scenario
+    is run with one policy right after the other, so that the noise of the machine
+    differs as little as possible between them.
+
+    Raises
+    ------
+    FleetError
+        If a process does not start or answer.
+    """
+    report = Report(figures=[], targets=[], timelines=[])
+    with _start_fleets(options) as fleets_by_policy:
+        if options.added_s:
+            _say("latency added to a direct call")
+            report.figures += measure_added_latency(
+                fleets_by_policy[PRODUCT],
+                policy=PRODUCT,
+                scenario=STEADY,
+                duration_s=options.added_s,
+                seed=options.seed,
+            )
+        for scenario in options.scenarios:
+            for policy, fleet in fleets_by_policy.items():
+                _say(f"{scenario.name}, {policy}")
+                measured = _measure(fleet, scenario, options)
+                report.figures += make_figures(measured, policy=policy)
+                report.timelines += make_timelines(measured, policy=policy)
+    report.targets = judge(report.figures, policy=PRODUCT)
+    return report
+
+
+@contextlib.contextmanager
+def _start_fleets(options: BenchOptions) -> Iterator[dict[str, Fleet]]:
+    module = "vanillapitch_testbed.bench._policy_daemon"
+    commands_by_policy = {PRODUCT: None}
+    for name in options.policies:
+        commands_by_policy[name] = [sys.executable, "-m", module, name]
+    fleets_by_policy = {
+        policy: Fleet(
+            deployment=DEPLOYMENT,
+            seed=options.seed,
+            backend_options=_BACKEND_OPTIONS,
+            daemon_command=command,
+        )
+        for policy, command in commands_by_policy.items()
+    }
+    with contextlib.ExitStack() as stack:
+        for fleet in fleets_by_policy.values():
+            stack.callback(fleet.stop)
+        _say(f"starting {len(fleets_by_policy)} fleets")
+        for fleet in fleets_by_policy.values():
+            fleet.start()
+        yield fleets_by_policy
+
+
+def _measure(fleet: Fleet, scenario: Scenario, options: BenchOptions) -> Measured:
+    duration_s = options.warm_up_s + options.measured_s
+    jobs = [
+        Job(
+            service=SERVICE.name,
+            target=scenario.target,
+            addresses=[vm.callers for vm in fleet.vms],
+            rate_per_s=scenario.rate_per_s / scenario.caller_processes,
+            duration_s=duration_s,
+            threads=_THREADS_OF_CALLER,
+            seed=options.seed * 1_000 + number,
+        )
+        for number in range(scenario.caller_processes)
+    ]
+    for vm in fleet.vms:
+        fleet.set_scenario(vm)
+        fleet.reset_max_in_flight(vm)
+    before = read_counters(fleet)
+    callers = CallerProcesses(jobs=jobs)
+    with callers:
+        fault = scenario.fault(fleet, options.warm_up_s, options.measured_s)
+        with fault as observations:
+            samples = callers.join()
+        after = read_counters(fleet)
+    time.sleep(_SETTLE_S)
+    return Measured(
+        scenario=scenario,
+        samples=samples,
+        warm_up_s=options.warm_up_s,
+        measured_s=options.measured_s,
+        before=before,
+        after=after,
+        observations=observations,
+        slots=DEPLOYMENT.slots,
+    )
+
+
+def _say(text: str) -> None:
+    print(f"bench: {text}", file=sys.stderr, flush=True)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import threading
+from collections.abc import Sequence
 
 import urllib3
 from vanillapitch_core.tables import encode_tables
@@ -57,6 +58,9 @@
         Fields of the settings' ``limits``.
     backend_options : dict
         Command line options of the backend servers, by name.
+    daemon_command : sequence of str, optional
+        Program and arguments that take the place of `vanillapitchd`; it gets
+        ``--settings`` as well. It cannot be combined with `proxied`.
     directory : pathlib.Path, optional
         For settings, logs and journals; a temporary one by default.
     """
@@ -69,6 +73,7 @@
         seed: int = 1,
         limits: dict | None = None,
         backend_options: dict | None = None,
+        daemon_command: Sequence[str] | None = None,
         directory: pathlib.Path | None = None,
     ):
         self.deployment = deployment
@@ -76,6 +81,9 @@
         self.seed = seed
         self._limits = limits or {}
         self._backend_options = backend_options or {}
+        if proxied and daemon_command:
+            raise ValueError("a proxied fleet has a daemon command of its own")
+        self._daemon_command = list(daemon_command or [_program("vanillapitchd")])
         self._temporary = directory is None
         self.directory = directory or pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
         self.directory.mkdir(parents=True, exist_ok=True)
@@ -168,6 +176,23 @@
         if not ready or not vm.daemon.is_running():
             raise FleetError(f"{vm.name} is not ready:\n{vm.daemon.log_tail()}")
 
+    def metrics(self, vm: Vm) -> str:
+        """Return a daemon's metrics in the Prometheus text format.
+
+        Raises
+        ------
+        FleetError
+            If the daemon refuses.
+        """
+        response = admin_request(vm.admin, "GET", "/metrics", token=ADMIN_TOKEN)
+        if response.status != 200:
+            raise FleetError(f"GET /metrics: {response.status}")
+        return response.data.decode()
+
+    def reset_max_in_flight(self, vm: Vm) -> None:
+        """Let a backend server count its most requests in flight anew."""
+        control_request(vm.control, "POST", "/max-in-flight/reset")
+
     def load_tables(self) -> None:
         """Apply the deployment's tables by the command line, wait for adoption.
 
@@ -381,7 +406,9 @@
                 vm.backend = self._make_process(
                     f"{vm.name}-backend", self._backend_command(vm)
                 )
-                vm.daemon = self._make_process(f"{vm.name}-daemon", _daemon_command(vm))
+                vm.daemon = self._make_process(
+                    f"{vm.name}-daemon", self._command_of_daemon(vm)
+                )
                 vms.append(vm)
         return vms
 
@@ -428,6 +455,13 @@
             command += ["--" + name.replace("_", "-"), str(value)]
         return command
 
+    def _command_of_daemon(self, vm: Vm) -> list[str]:
+        command = self._daemon_command
+        if vm.proxied:
+            module = "vanillapitch_testbed.fleet._shifted_daemon"
+            command = [sys.executable, "-m", module]
+        return [*command, "--settings", str(vm.settings_path)]
+
     def _write_settings(self, vm: Vm) -> None:
         store = self.store_address
         if self.proxied:
@@ -455,13 +489,6 @@
         vm.settings_path.write_text(json.dumps(settings, indent=2))
 
 
-def _daemon_command(vm: Vm) -> list[str]:
-    if vm.proxied:
-        module = "vanillapitch_testbed.fleet._shifted_daemon"
-        return [sys.executable, "-m", module, "--settings", str(vm.settings_path)]
-    return [_program("vanillapitchd"), "--settings", str(vm.settings_path)]
-
-
 def _program(name: str) -> str:
     return str(pathlib.Path(sys.executable).parent / name)
 
