Compare baselines with the product by ratio and show targets in the report

The reader of the report ignored the targets that the benchmark writes, and the processes of the benchmark imported all of it. The reader has the targets now, the page lists them as met or missed, and callers and the launcher of baselines are in a package of their own. All fleets get load before the first measurement, so that no policy is measured while its daemons ramp up.

--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_report_command.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_report_command.py
@@ -10,6 +10,7 @@
 from vanillapitch_cli._report_model import (
     Figure,
     Measurements,
+    Target,
     Timeline,
     read_measurements,
 )
@@ -75,7 +76,7 @@
     scenarios = dict.fromkeys(
         item.scenario for item in (*measurements.figures, *measurements.timelines)
     )
-    sections = []
+    sections = [_targets_table(measurements.targets)]
     for scenario in scenarios:
         figures = [item for item in measurements.figures if item.scenario == scenario]
         lines = [item for item in measurements.timelines if item.scenario == scenario]
@@ -98,6 +99,23 @@
     return [(name, group) for (name, _), group in groups.items()]
 
 
+def _targets_table(targets: Sequence[Target]) -> str:
+    if not targets:
+        return ""
+    rows = [
+        "<tr><th>target</th><th>limit</th><th>value</th><th>unit</th><th></th></tr>"
+    ]
+    for target in targets:
+        value = "not measured" if target.value is None else f"{target.value:.6g}"
+        name, unit = map(html.escape, (target.name, target.unit))
+        rows.append(
+            f'<tr><td>{name}</td><td class="value">{target.limit:g}</td>'
+            f'<td class="value">{value}</td><td>{unit}</td>'
+            f"<td>{'met' if target.met else 'missed'}</td></tr>"
+        )
+    return "<h2>Targets</h2>\n<table>\n" + "\n".join(rows) + "\n</table>"
+
+
 def _figures_table(figures: Sequence[Figure]) -> str:
     if not figures:
         return ""
--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_report_model.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_report_model.py
@@ -7,7 +7,7 @@
 from vanillapitch_cli._documents import read_text
 from vanillapitch_cli.exceptions import BadInputError
 
-__all__ = ["Figure", "Measurements", "Timeline", "read_measurements"]
+__all__ = ["Figure", "Measurements", "Target", "Timeline", "read_measurements"]
 
 Text = Annotated[str, msgspec.Meta(max_length=200)]
 
@@ -36,6 +36,30 @@
     unit: Text
 
 
+class Target(msgspec.Struct, kw_only=True, frozen=True):
+    """A target and what was measured.
+
+    Attributes
+    ----------
+    name : str
+        What was measured.
+    limit : float
+        Bound of the target.
+    value : float or None
+        The number; None when it could not be measured.
+    unit : str
+        Unit of both.
+    met : bool
+        Whether the number is within the bound.
+    """
+
+    name: Text
+    limit: float
+    value: float | None
+    unit: Text
+    met: bool
+
+
 class Timeline(msgspec.Struct, kw_only=True, frozen=True):
     """A measurement over time.
 
@@ -61,11 +85,14 @@
     ----------
     figures : tuple of Figure
         Measured numbers.
+    targets : tuple of Target
+        Targets, met or missed.
     timelines : tuple of Timeline
         Measurements over time.
     """
 
     figures: Annotated[tuple[Figure, ...], msgspec.Meta(max_length=5_000)]
+    targets: Annotated[tuple[Target, ...], msgspec.Meta(max_length=500)] = ()
     timelines: Annotated[tuple[Timeline, ...], msgspec.Meta(max_length=500)] = ()
 
 
--- a/packages/vanillapitch-cli/tests/test_report.py
+++ b/packages/vanillapitch-cli/tests/test_report.py
@@ -21,6 +21,16 @@
         }
         for policy, value in (("picker", 12.5), ("random", None))
     ],
+    "targets": [
+        {
+            "name": "p99 & <more>",
+            "limit": 1.5,
+            "value": value,
+            "unit": "times",
+            "met": met,
+        }
+        for value, met in ((1.25, True), (None, False))
+    ],
     "timelines": [
         {
             "scenario": "zone out",
@@ -56,6 +66,19 @@
     assert "not measured" in page
 
 
+def test_a_page_shows_every_target_as_met_or_missed(file):
+    # Guards against a missed target that a reader of the report does not see.
+    page = render_report(
+        read_measurements(str(file)),
+        draw_bars=lambda name, items: "",
+        draw_lines=lambda name, items: "",
+    )
+    rows = [row for row in page.splitlines() if "p99 &amp; &lt;more&gt;" in row]
+    assert ["met" in row for row in rows] == [True, False]
+    assert ["missed" in row for row in rows] == [False, True]
+    assert all("1.5" in row for row in rows)
+
+
 def test_a_missing_library_and_bad_files_have_clear_errors(file, tmp_path, monkeypatch):
     # Guards against a traceback for an extra that is not installed.
     out = tmp_path / "report.html"
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_added.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_added.py
@@ -1,9 +1,9 @@
 """Latency that the passage through the daemons adds to a direct call."""
 
-from vanillapitch_testbed.bench._caller import Job, Sample
 from vanillapitch_testbed.bench._load import CallerProcesses
 from vanillapitch_testbed.bench._model import Figure
 from vanillapitch_testbed.bench._scenarios import SERVICE
+from vanillapitch_testbed.bench_processes.job import Job, Sample
 from vanillapitch_testbed.callers import percentile_ms
 from vanillapitch_testbed.fleet import Fleet
 
@@ -15,7 +15,7 @@
 _PAIRS_PER_S = 30.0
 # Connections are made in this time.
 _WARM_UP_S = 1.0
-_SHARES_BY_NAME = {"p50": 0.5, "p99": 0.99}
+_SHARES_BY_NAME = {"p50": 0.5, "p90": 0.9, "p99": 0.99}
 
 
 def measure_added_latency(
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_figures.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_figures.py
@@ -3,18 +3,20 @@
 import dataclasses
 import math
 from collections import Counter
+from collections.abc import Sequence
 
-from vanillapitch_testbed.bench._caller import Sample
 from vanillapitch_testbed.bench._counters import Counters
 from vanillapitch_testbed.bench._model import Figure, Timeline
 from vanillapitch_testbed.bench._scenarios import CRASH, Observations, Scenario
+from vanillapitch_testbed.bench_processes.job import Sample
 from vanillapitch_testbed.callers import percentile_ms
 
-__all__ = ["Measured", "make_figures", "make_timelines"]
+__all__ = ["Measured", "make_figures", "make_ratios", "make_timelines"]
 
 _PROBE_BUDGET_PERCENT = 1.0
 _TIMELINE_STEP_S = 0.5
 _SHARES_BY_NAME = {"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
+_COMPARED_NAMES = (*_SHARES_BY_NAME, "goodput")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,6 +126,39 @@
     return values
 
 
+def make_ratios(figures: Sequence[Figure], *, reference: str) -> list[Figure]:
+    """Compute the latencies and goodput of the baselines as multiples of `reference`.
+
+    Parameters
+    ----------
+    figures : sequence of Figure
+        Figures of all policies.
+    reference : str
+        Policy that the others are compared with.
+    """
+    values = {
+        (figure.scenario, figure.name): figure.value
+        for figure in figures
+        if figure.policy == reference
+    }
+    ratios = []
+    for figure in figures:
+        if figure.policy == reference or figure.name not in _COMPARED_NAMES:
+            continue
+        base = values.get((figure.scenario, figure.name))
+        ratio = figure.value / base if base and figure.value is not None else None
+        ratios.append(
+            Figure(
+                scenario=figure.scenario,
+                policy=figure.policy,
+                name=f"{figure.name} by that of {reference}",
+                value=ratio,
+                unit="times",
+            )
+        )
+    return ratios
+
+
 def make_timelines(measured: Measured, *, policy: str) -> list[Timeline]:
     """Compute goodput and the greatest latency over the time of a scenario."""
     duration_s = measured.warm_up_s + measured.measured_s
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_load.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_load.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from vanillapitch_testbed.bench._caller import Job, Sample
+from vanillapitch_testbed.bench_processes.job import Job, Sample
 
 __all__ = ["CallerProcesses"]
 
@@ -24,7 +24,7 @@
 
     def __init__(self, *, jobs: list[Job]):
         self._jobs = jobs
-        command = [sys.executable, "-m", "vanillapitch_testbed.bench._caller"]
+        command = [sys.executable, "-m", "vanillapitch_testbed.bench_processes.caller"]
         self._processes = [
             subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
             for _ in jobs
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_run.py
@@ -5,14 +5,18 @@
 import sys
 import time
 from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
 
 from vanillapitch_testbed.bench._added import measure_added_latency
-from vanillapitch_testbed.bench._caller import Job
 from vanillapitch_testbed.bench._counters import read_counters
-from vanillapitch_testbed.bench._figures import Measured, make_figures, make_timelines
+from vanillapitch_testbed.bench._figures import (
+    Measured,
+    make_figures,
+    make_ratios,
+    make_timelines,
+)
 from vanillapitch_testbed.bench._load import CallerProcesses
 from vanillapitch_testbed.bench._model import Report
-from vanillapitch_testbed.bench._policy_daemon import POLICIES_BY_NAME
 from vanillapitch_testbed.bench._scenarios import (
     DEPLOYMENT,
     SCENARIOS,
@@ -21,6 +25,8 @@
     Scenario,
 )
 from vanillapitch_testbed.bench._targets import judge
+from vanillapitch_testbed.bench_processes.job import Job
+from vanillapitch_testbed.bench_processes.policy_daemon import POLICIES_BY_NAME
 from vanillapitch_testbed.fleet import Fleet
 
 __all__ = ["PRODUCT", "BenchOptions", "run_bench"]
@@ -66,8 +72,12 @@
     FleetError
         If a process does not start or answer.
     """
+    start = dataclasses.replace(options, measured_s=0.0)
     report = Report(figures=[], targets=[], timelines=[])
     with _start_fleets(options) as fleets_by_policy:
+        for fleet in fleets_by_policy.values():
+            # Unmeasured, so that no measurement contains the start of the daemons.
+            _measure(fleet, options.scenarios[0], start)
         if options.added_s:
             _say("latency added to a direct call")
             report.figures += measure_added_latency(
@@ -83,13 +93,14 @@
                 measured = _measure(fleet, scenario, options)
                 report.figures += make_figures(measured, policy=policy)
                 report.timelines += make_timelines(measured, policy=policy)
+    report.figures += make_ratios(report.figures, reference=PRODUCT)
     report.targets = judge(report.figures, policy=PRODUCT)
     return report
 
 
 @contextlib.contextmanager
 def _start_fleets(options: BenchOptions) -> Iterator[dict[str, Fleet]]:
-    module = "vanillapitch_testbed.bench._policy_daemon"
+    module = "vanillapitch_testbed.bench_processes.policy_daemon"
     commands_by_policy = {PRODUCT: None}
     for name in options.policies:
         commands_by_policy[name] = [sys.executable, "-m", module, name]
@@ -102,13 +113,14 @@
         )
         for policy, command in commands_by_policy.items()
     }
-    with contextlib.ExitStack() as stack:
-        for fleet in fleets_by_policy.values():
-            stack.callback(fleet.stop)
-        _say(f"starting {len(fleets_by_policy)} fleets")
-        for fleet in fleets_by_policy.values():
-            fleet.start()
-        yield fleets_by_policy
+    fleets = list(fleets_by_policy.values())
+    _say(f"starting {len(fleets)} fleets")
+    with ThreadPoolExecutor(len(fleets)) as executor:
+        try:
+            list(executor.map(Fleet.start, fleets))
+            yield fleets_by_policy
+        finally:
+            list(executor.map(Fleet.stop, fleets))
 
 
 def _measure(fleet: Fleet, scenario: Scenario, options: BenchOptions) -> Measured:
