--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_counters.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_counters.py
@@ -28,8 +28,8 @@
         Time of probes since the start, by daemon.
     max_in_flight : int
         Most requests in flight at any backend server since the last reset.
-    cold_failures : int
-        Requests beyond what a cold backend server bears.
+    cold_failures : dict of str to int
+        Requests beyond what a cold backend server bears, by its name.
     """
 
     at_s: float
@@ -37,7 +37,7 @@
     retries: float = 0.0
     probe_ms: list[float] = dataclasses.field(default_factory=list)
     max_in_flight: int = 0
-    cold_failures: int = 0
+    cold_failures: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def read_counters(fleet: Fleet) -> Counters:
@@ -58,5 +58,5 @@
         except FleetError:
             continue  # it crashed, and its counters with it
         counters.max_in_flight = max(counters.max_in_flight, backend["max_in_flight"])
-        counters.cold_failures += backend["cold_failures"]
+        counters.cold_failures[vm.name] = backend["cold_failures"]
     return counters
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_figures.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/bench/_figures.py
@@ -89,7 +89,7 @@
     before, after = measured.before, measured.after
     calls = after.calls - before.calls
     retries = after.retries - before.retries
-    cold_failures = max(0, after.cold_failures - before.cold_failures)
+    cold_failures = _count_cold_failures(before, after)
     return [
         ("most in flight", after.max_in_flight, "requests"),
         ("borne when warm", measured.slots, "requests"),
@@ -100,6 +100,15 @@
     ]
 
 
+def _count_cold_failures(before: Counters, after: Counters) -> int:
+    count = 0
+    for name, failures in after.cold_failures.items():
+        known = before.cold_failures.get(name, 0)
+        # A backend server that was started again counts from zero.
+        count += failures - known if failures >= known else failures
+    return count
+
+
 def _probe_load_percent(measured: Measured) -> float:
     """Return the highest share of slot time that a daemon used for probes.
 
