--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_fleets.py
@@ -0,0 +1,110 @@
+"""Fleets of real processes for the measurements, and readings of their daemons."""
+
+import re
+
+from vanillapitch_core.tables import Pool, Route, Tables, encode_tables
+
+from vanillapitch_testbed.fleet import (
+    Deployment,
+    Fleet,
+    FleetError,
+    Service,
+    Vm,
+    admin_request,
+    control_request,
+)
+from vanillapitch_testbed.fleet._fleet import ADMIN_TOKEN, CLUSTER_KEY
+
+__all__ = [
+    "GOSSIP_KEY",
+    "deployment_of",
+    "gossip_bytes",
+    "put_large_tables",
+    "store_calls",
+    "tables_of_size",
+]
+
+GOSSIP_KEY = CLUSTER_KEY.encode()
+_ZONES = ("z-1", "z-2", "z-3", "z-4", "z-5")
+_SLOTS = 16
+
+
+def deployment_of(*, endpoints: int, services: int = 1, zones: int = 5) -> Deployment:
+    """Return a deployment with its endpoints spread over services.
+
+    Parameters
+    ----------
+    endpoints : int
+        Endpoints of all services together; each has a daemon.
+    services : int
+        Services, each of keyed requests and reads.
+    zones : int
+        Zones, up to 5.
+
+    Returns
+    -------
+    Deployment
+        The deployment.
+    """
+    each, rest = divmod(endpoints, services)
+    return Deployment(
+        name=f"slopes-{endpoints}",
+        region="region-1",
+        zones=_ZONES[:zones],
+        services=tuple(
+            Service(
+                name=f"service-{index}",
+                endpoints=each + (index < rest),
+                kind="read",
+                service_ms=2.0,
+            )
+            for index in range(services)
+        ),
+        slots=_SLOTS,
+    )
+
+
+def tables_of_size(services: int) -> Tables:
+    """Return tables with a route and a pool for each service."""
+    names = [f"service-{index}" for index in range(services)]
+    return Tables(
+        routes=tuple(
+            Route(name=name, path_prefix=f"/{name}", pool=name) for name in names
+        ),
+        pools=tuple(Pool(name=name, service=name) for name in names),
+    )
+
+
+def put_large_tables(fleet: Fleet, vm: Vm, services: int) -> int:
+    """Put tables of a size in force and return their size in bytes.
+
+    Raises
+    ------
+    FleetError
+        If the daemon refuses them.
+    """
+    tables = tables_of_size(services)
+    routes = [
+        {"name": route.name, "path_prefix": route.path_prefix, "pool": route.pool}
+        for route in tables.routes
+    ]
+    pools = [{"name": pool.name, "service": pool.service} for pool in tables.pools]
+    base = fleet.tables(vm)
+    response = fleet.put_tables(vm, base=base, routes=routes, pools=pools)
+    if response.status != 200:
+        raise FleetError(f"PUT /v1/tables: {response.status} {response.data[:200]!r}")
+    fleet.wait_revision(base["revision"] + 1)
+    return len(encode_tables(tables))
+
+
+def gossip_bytes(vm: Vm) -> int:
+    """Return the bytes of membership messages that a daemon sent and received."""
+    response = admin_request(vm.admin, "GET", "/metrics", token=ADMIN_TOKEN)
+    pattern = r"^vanillapitch_gossip_bytes_total\{.*\} (\S+)$"
+    found = re.findall(pattern, response.data.decode(), re.MULTILINE)
+    return int(sum(float(value) for value in found))
+
+
+def store_calls(fleet: Fleet) -> dict:
+    """Return the store's counters."""
+    return control_request(fleet.store_control, "GET", "/counters")
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_members.py
@@ -0,0 +1,147 @@
+"""Cost of membership: real daemons, stand-in members and restarts."""
+
+import time
+
+from vanillapitch_testbed.fleet import Fleet, Vm
+from vanillapitch_testbed.slopes._figures import Point
+from vanillapitch_testbed.slopes._fleets import (
+    GOSSIP_KEY,
+    deployment_of,
+    gossip_bytes,
+    put_large_tables,
+    store_calls,
+)
+from vanillapitch_testbed.slopes._process import sample
+from vanillapitch_testbed.slopes._stand_in import MemberStandIn
+
+__all__ = [
+    "measure_real_members",
+    "measure_restarts",
+    "measure_stand_in_members",
+]
+
+SETTLE_S = 4.0
+SERVICES = 18
+
+
+def measure_real_members(
+    counts: tuple[int, ...], *, window_s: float, settle_s: float = SETTLE_S
+) -> list[Point]:
+    """Measure a daemon in fleets of real daemons without calls.
+
+    Parameters
+    ----------
+    counts : tuple of int
+        Numbers of daemons.
+    window_s : float
+        Duration of each measurement.
+    settle_s : float
+        Pause before it, in which the membership settles.
+
+    Returns
+    -------
+    list of Point
+        One for each count.
+    """
+    points = []
+    for count in counts:
+        with Fleet(deployment=deployment_of(endpoints=count)) as fleet:
+            time.sleep(settle_s)
+            calls_before = sum(store_calls(fleet)["calls_by_kind"].values())
+            values = _observe(fleet.vms[-1], window_s)
+            counters = store_calls(fleet)
+            calls = sum(counters["calls_by_kind"].values()) - calls_before
+            values["store_calls_per_s"] = calls / window_s
+            values["store_watches_open"] = counters["watches_open"]
+            points.append(Point(x=count, values_by_figure=values))
+    return points
+
+
+def measure_stand_in_members(
+    counts: tuple[int, ...], *, window_s: float, settle_s: float = SETTLE_S
+) -> list[Point]:
+    """Measure one real daemon that holds the records of stand-in members.
+
+    Parameters
+    ----------
+    counts : tuple of int
+        Numbers of members, the daemon included.
+    window_s, settle_s : float
+        As in `measure_real_members`.
+
+    Returns
+    -------
+    list of Point
+        One for each count.
+    """
+    return [
+        _with_stand_in(count, count, 0.0, window_s=window_s, settle_s=settle_s)
+        for count in counts
+    ]
+
+
+def measure_restarts(
+    rates: tuple[float, ...],
+    *,
+    members: int,
+    window_s: float,
+    settle_s: float = SETTLE_S,
+) -> list[Point]:
+    """Measure one real daemon while stand-in members restart.
+
+    Parameters
+    ----------
+    rates : tuple of float
+        Restarts per second of all members together.
+    members : int
+        Number of members, the daemon included.
+    window_s, settle_s : float
+        As in `measure_real_members`.
+
+    Returns
+    -------
+    list of Point
+        One for each rate.
+    """
+    return [
+        _with_stand_in(rate, members, rate, window_s=window_s, settle_s=settle_s)
+        for rate in rates
+    ]
+
+
+def _with_stand_in(
+    x: float, members: int, restarts_per_s: float, *, window_s: float, settle_s: float
+) -> Point:
+    with Fleet(deployment=deployment_of(endpoints=1)) as fleet:
+        vm = fleet.vms[0]
+        put_large_tables(fleet, vm, SERVICES)
+        with MemberStandIn(
+            members=members - 1,
+            daemon_gossip=vm.gossip,
+            cluster_key=GOSSIP_KEY,
+            restarts_per_s=restarts_per_s,
+        ) as stand_in:
+            time.sleep(settle_s)
+            messages_before = stand_in.message_count
+            values = _observe(vm, window_s)
+            messages = stand_in.message_count - messages_before
+            values["messages_per_s"] = messages / window_s
+            held = fleet.status(vm)["members_by_state"]
+            values["members_alive_count"] = held.get("alive", 0)
+    return Point(x=x, values_by_figure=values)
+
+
+def _observe(vm: Vm, window_s: float) -> dict[str, float]:
+    bytes_before = gossip_bytes(vm)
+    before = sample(vm.daemon.pid)
+    time.sleep(window_s)
+    after = sample(vm.daemon.pid)
+    spent = after.spent_since(before)
+    return {
+        "gossip_bytes_per_s": (gossip_bytes(vm) - bytes_before) / window_s,
+        "cpu_percent": spent.cpu_percent,
+        "wakeups_per_s": spent.wakeups_per_s,
+        "resident_mb": after.resident_mb,
+        "anonymous_mb": after.anonymous_mb,
+        "threads_count": after.threads,
+    }
