--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_calls.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_calls.py
@@ -53,13 +53,16 @@
     """
     with Fleet(deployment=DEPLOYMENT) as fleet:
         ingress, owner = fleet.vms
-        _send_calls(ingress.callers, WARM_UP_RATE, warm_up_s)
+        _send_calls((ingress.callers,), WARM_UP_RATE, warm_up_s)
         points = []
         for rate in rates:
             before = [sample(vm.daemon.pid) for vm in (ingress, owner)]
-            calls, elapsed_s = _send_calls(ingress.callers, rate, window_s)
+            # Sent in turn, so that both meet the same state of the machine.
+            addresses = (ingress.callers, owner.backend_address)
+            sent, elapsed_s = _send_calls(addresses, rate, window_s)
             after = [sample(vm.daemon.pid) for vm in (ingress, owner)]
-            direct, _ = _send_calls(owner.backend_address, rate, window_s / 2)
+            calls = [call for call in sent if call.sent_to == ingress.callers]
+            direct = [call for call in sent if call.sent_to != ingress.callers]
             spent = [b.spent_since(a) for a, b in zip(before, after, strict=True)]
             values = {
                 "ingress_cpu_percent": spent[0].cpu_percent,
@@ -111,7 +114,7 @@
     through_ms = sorted(call.latency_ms for call in calls if call.answered)
     direct_ms = sorted(call.latency_ms for call in direct if call.answered)
     if not through_ms or not direct_ms:
-        return {"added_p50_ms": 0.0, "added_p99_ms": 0.0}
+        return {}
     return {
         f"added_p{100 * share:.0f}_ms": percentile_ms(through_ms, share)
         - percentile_ms(direct_ms, share)
@@ -119,17 +122,22 @@
     }
 
 
-def _send_calls(address: str, rate: float, window_s: float) -> tuple[list[Call], float]:
-    """Send calls in an open loop and return them with the duration."""
+def _send_calls(
+    addresses: tuple[str, ...], rate: float, window_s: float
+) -> tuple[list[Call], float]:
+    """Send calls to each address in an open loop; return them with the duration."""
     started_s = time.monotonic()
     if rate == 0:
         time.sleep(window_s)
         return [], window_s
+    interval_s = 1.0 / (rate * len(addresses))
+    count = max(1, round(window_s / interval_s))
     pool = urllib3.PoolManager(maxsize=THREADS)
     with concurrent.futures.ThreadPoolExecutor(THREADS) as threads:
         futures = []
-        for index in range(max(1, round(rate * window_s))):
-            time.sleep(max(0.0, started_s + index / rate - time.monotonic()))
+        for index in range(count):
+            time.sleep(max(0.0, started_s + index * interval_s - time.monotonic()))
+            address = addresses[index % len(addresses)]
             futures.append(threads.submit(_send_one, pool, address))
         elapsed_s = time.monotonic() - started_s
         calls = [future.result() for future in futures]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_figures.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_figures.py
@@ -66,15 +66,23 @@
     per : str
         Unit of the load.
     points : sequence of Point
-        At least two loads with the same figures.
+        The loads; a figure needs at least two of them.
 
     Returns
     -------
     list of Slope
         One for each figure.
     """
-    figures = points[0].values_by_figure
-    return [_fit_figure(name, per, figure, points) for figure in figures]
+    figures = {figure: None for point in points for figure in point.values_by_figure}
+    return [
+        _fit_figure(
+            name,
+            per,
+            figure,
+            [point for point in points if figure in point.values_by_figure],
+        )
+        for figure in figures
+    ]
 
 
 def _fit_figure(name: str, per: str, figure: str, points: Sequence[Point]) -> Slope:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_members.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_members.py
@@ -20,7 +20,8 @@
     "measure_stand_in_members",
 ]
 
-SETTLE_S = 4.0
+# After it, new records are no longer spread at their first rate.
+SETTLE_S = 8.0
 SERVICES = 18
 
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_size.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_size.py
@@ -130,7 +130,7 @@
     Extrapolation(
         role="ingress",
         quantity="processor time of calls",
-        mechanism="waitress, routing, picking, Thrift call",
+        mechanism="waitress server, routing, picking, Thrift call",
         slope="calls.ingress_cpu_percent",
         load=CALLS_PER_S_PER_DAEMON,
         unit="% of a core",
