--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/__main__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import pathlib
 import platform
+import signal
 import sys
 import time
 from collections.abc import Callable
@@ -67,6 +68,8 @@
     parser.add_argument("--window-s", type=float, default=6.0)
     parser.add_argument("--only", nargs="*", choices=_MEASUREMENTS, default=None)
     options = parser.parse_args()
+    # The context manager of a fleet stops all processes on SIGTERM, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     started_s = time.monotonic()
     slopes, errors_by_name = [], {}
     for name in options.only or _MEASUREMENTS:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_configuration.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_configuration.py
@@ -90,8 +90,9 @@
                 "operator_cpu_percent": shares[0],
                 "others_mean_cpu_percent": sum(shares[1:]) / len(shares[1:]),
                 "store_calls_per_s": calls / elapsed_s,
-                "in_force_max_ms": max(force_ms, default=0.0),
             }
+            if force_ms:
+                values["in_force_max_ms"] = max(force_ms)
             x = len(force_ms) / elapsed_s
             points.append(Point(x=x, values_by_figure=values))
     return points
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_members.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_members.py
@@ -21,7 +21,9 @@
 ]
 
 # After it, new records are no longer spread at their first rate.
-SETTLE_S = 8.0
+SETTLE_S = 6.0
+# Covers one waiting watch and one renewal of a lease of each daemon.
+STORE_WINDOW_S = 20.0
 SERVICES = 18
 
 
@@ -35,7 +37,7 @@
     counts : tuple of int
         Numbers of daemons.
     window_s : float
-        Duration of each measurement.
+        Least duration of each measurement; the calls to the store need 20 s.
     settle_s : float
         Pause before it, in which the membership settles.
 
@@ -44,6 +46,7 @@
     list of Point
         One for each count.
     """
+    window_s = max(window_s, STORE_WINDOW_S)
     points = []
     for count in counts:
         with Fleet(deployment=deployment_of(endpoints=count)) as fleet:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_size.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/_size.py
@@ -43,6 +43,9 @@
         Its bound.
     without_base : bool
         Whether only the share of the load counts, not the value without load.
+    is_bounded : bool
+        Whether the mechanism bounds the quantity, so that no line describes it and
+        the value at the largest load measured is shown.
     """
 
     role: str
@@ -53,6 +56,7 @@
     unit: str
     budget: float | None = None
     without_base: bool = False
+    is_bounded: bool = False
 
 
 EXTRAPOLATIONS = (
@@ -206,5 +210,6 @@
         load=KEYED_PER_S,
         unit="writes/s",
         budget=STORE_WRITES_PER_S,
+        is_bounded=True,
     ),
 )
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/page.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/slopes/page.py
@@ -128,7 +128,7 @@
         return start + "| | | | | not measured |"
     load = f"{_number(line.load)} {slope.per}"
     in_range = slope.range_low <= line.load <= slope.range_high
-    value = slope.at(line.load) if not line.without_base else slope.slope * line.load
+    value = _value(line, slope)
     result, budget = "no budget of its own", ""
     if line.budget is not None:
         result = "met" if value <= line.budget else "**missed**"
@@ -140,6 +140,14 @@
     )
 
 
+def _value(line: Extrapolation, slope: Slope) -> float:
+    if line.is_bounded:
+        return max(slope.points)[1]
+    if line.without_base:
+        return slope.slope * line.load
+    return slope.at(line.load)
+
+
 def _number(value: float) -> str:
     if value == 0:
         return "0"
