Keep retries below 10% of calls in short windows

make bench measured 13.8% retries at twice capacity: 10% of the calls and 50 saved retries at each of four ingresses. The budget fills at 8% and saves 5.

--- a/packages/vanillapitch-core/src/vanillapitch_core/retries.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/retries.py
@@ -14,12 +14,14 @@
     "record_call",
 ]
 
-BUDGET_SHARE = 0.10
+# Below the limit of 10% of calls, so that saved and initial retries fit into it: with
+# 10% and 50 saved retries at each of four ingresses, 13.8% of 1,500 calls were retried.
+BUDGET_SHARE = 0.08
 # Lets the first calls after a start be retried; 3 calls are below 10% from the
 # thirtieth call on.
 INITIAL_RETRIES = 3.0
 # Bounds the retries at once after a long time without failures.
-MAX_SAVED_RETRIES = 50.0
+MAX_SAVED_RETRIES = 5.0
 MAX_ATTEMPTS = 3
 HEDGED_METHODS = frozenset({"GET", "HEAD"})
 
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -10,6 +10,7 @@
 import urllib3
 from vanillapitch_core import SystemClock
 from vanillapitch_core.tables import Pool, Route, Tables
+from vanillapitch_daemon.admin import BackendState
 from vanillapitch_daemon.assembly import build_daemon
 from vanillapitch_daemon.claims import build_claims
 from vanillapitch_daemon.main import start_daemon, stop_daemon
@@ -139,6 +140,7 @@
         for daemon in daemons:
             daemon.snapshot.replace(tables)
             start_daemon(daemon)
+            daemon.node.announce(BackendState.READY)
             for other in daemons:
                 daemon.picker.tell(EndpointChanged(endpoint=other.endpoint))
                 daemon.claims.routes.note_member(other.endpoint.instance, is_live=True)
