Start worker threads when all are busy

A daemon started all its worker threads at once, 16 KB each, although few serve at the same time. ReadinessPool now starts two and adds one when none is idle, up to its bound.

--- a/packages/vanillapitch-wire/src/vanillapitch_wire/readiness.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/readiness.py
@@ -14,6 +14,9 @@
 
 __all__ = ["ReadinessPool"]
 
+# One waits while the other serves, so that a single call starts no thread.
+FIRST_THREADS = 2
+
 _READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 _WRITE_EVENTS = select.EPOLLOUT | select.EPOLLONESHOT
 
@@ -21,17 +24,18 @@
 
 
 class ReadinessPool:
-    """Serves ready sockets on a fixed number of threads.
+    """Serves ready sockets on a bounded number of threads.
 
     A socket is disarmed when it becomes ready, so one thread at a time serves it,
-    until the callback arms it again.
+    until the callback arms it again. Threads are started when all are busy and kept:
+    each takes 16 KB, and most daemons serve few sockets at the same time.
 
     Parameters
     ----------
     name : str
         Prefix of the thread names.
     threads : int
-        Sockets served at the same time.
+        Most sockets served at the same time.
     """
 
     def __init__(self, *, name: str, threads: int):
@@ -39,15 +43,18 @@
         self._callbacks_by_fd: dict[int, Callable[[], None]] = {}
         self._wake_receiver, self._wake_sender = socket.socketpair()
         self._epoll.register(self._wake_receiver, select.EPOLLIN)
-        self._threads = [
-            threading.Thread(target=self._run, name=f"{name}-{index}", daemon=True)
-            for index in range(threads)
-        ]
+        self._name = name
+        self._max_threads = threads
+        self._lock = threading.Lock()
+        self._thread_count = 0
+        self._idle_count = 0
 
     def start(self) -> None:
-        """Start the threads."""
-        for thread in self._threads:
-            thread.start()
+        """Start to serve."""
+        with self._lock:
+            count = min(FIRST_THREADS, self._max_threads) - self._thread_count
+        for _ in range(count):
+            self._start_thread()
 
     def add(self, sock: socket.socket, callback: Callable[[], None]) -> None:
         """Watch a socket for input.
@@ -96,7 +103,36 @@
             for fd, _ in self._epoll.poll(maxevents=1):
                 if fd == wake_fd:
                     return
-                self._serve(fd)
+                self._begin_serving()
+                try:
+                    self._serve(fd)
+                finally:
+                    with self._lock:
+                        self._idle_count += 1
+
+    def _start_thread(self) -> None:
+        with self._lock:
+            if self._thread_count >= self._max_threads:
+                return
+            # Counted before it runs, so that two busy threads start two others.
+            self._thread_count += 1
+            self._idle_count += 1
+            name = f"{self._name}-{self._thread_count - 1}"
+        try:
+            threading.Thread(target=self._run, name=name, daemon=True).start()
+        except RuntimeError:
+            # The system has no thread left; those that run serve all sockets.
+            _log.exception("Could not start a thread")
+            with self._lock:
+                self._thread_count -= 1
+                self._idle_count -= 1
+
+    def _begin_serving(self) -> None:
+        with self._lock:
+            self._idle_count -= 1
+            must_grow = self._idle_count <= 0
+        if must_grow:
+            self._start_thread()
 
     def _serve(self, fd: int) -> None:
         callback = self._callbacks_by_fd.get(fd)
