--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_run.py
@@ -94,7 +94,8 @@
         self._started_s = 0.0
         self._stop = threading.Event()
         self._poison_calls: list[Call] = []
-        self._began_ms_by_subject: dict[str, int] = {}
+        # By identity: races of operators share a subject and may overlap.
+        self._began_ms_by_fault: dict[int, int] = {}
         self._pauses: list[tuple[str, int, int]] = []
 
     def run(self) -> SoakResult:
@@ -153,7 +154,7 @@
         except (FleetError, urllib3.exceptions.HTTPError):
             return  # its subject has another fault, or is out of reach by one
         self._context.subjects.add(active.subject)
-        self._began_ms_by_subject[active.subject] = applied_ms
+        self._began_ms_by_fault[id(active)] = applied_ms
         self._note(active.name)
         self._counts[active.kind] += 1
         self._active.append((time.monotonic() + active.duration_s, active))
@@ -166,7 +167,7 @@
             return False
         self._note(f"taken back: {fault.name}")
         self._context.subjects.discard(fault.subject)
-        began_ms = self._began_ms_by_subject.pop(fault.subject)
+        began_ms = self._began_ms_by_fault.pop(id(fault))
         if fault.kind == "pause daemon":
             self._pauses.append((fault.subject, began_ms, _CLOCK.wall_ms()))
         return True
