--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_report_command.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_report_command.py
@@ -18,6 +18,9 @@
 
 __all__ = ["render_report", "report"]
 
+# A chart for each of dozens of names hides the ones that are compared.
+_CHARTED_NAMES = frozenset({"p50", "p99", "p99.9", "goodput"})
+
 Item = TypeVar("Item", Figure, Timeline)
 DrawBars = Callable[[str, Sequence[Figure]], str]
 DrawLines = Callable[[str, Sequence[Timeline]], str]
@@ -81,7 +84,7 @@
         figures = [item for item in measurements.figures if item.scenario == scenario]
         lines = [item for item in measurements.timelines if item.scenario == scenario]
         sections.append(f"<h2>{html.escape(scenario)}</h2>")
-        sections += [draw_bars(*group) for group in _by_name(figures)]
+        sections += [draw_bars(*group) for group in _by_name(_charted(figures))]
         sections += [draw_lines(*group) for group in _by_name(lines)]
         sections.append(_figures_table(figures))
     body = "\n".join(sections)
@@ -92,6 +95,11 @@
     )
 
 
+def _charted(figures: Sequence[Figure]) -> list[Figure]:
+    """Return the figures that are drawn; the table below the charts has them all."""
+    return [figure for figure in figures if figure.name in _CHARTED_NAMES]
+
+
 def _by_name(items: Sequence[Item]) -> list[tuple[str, list[Item]]]:
     groups: dict[tuple[str, str], list[Item]] = {}
     for item in items:
@@ -119,12 +127,19 @@
 def _figures_table(figures: Sequence[Figure]) -> str:
     if not figures:
         return ""
-    rows = ["<tr><th>measurement</th><th>policy</th><th>value</th><th>unit</th></tr>"]
-    for figure in figures:
-        value = "not measured" if figure.value is None else f"{figure.value:.6g}"
-        name, policy, unit = map(html.escape, (figure.name, figure.policy, figure.unit))
-        rows.append(
-            f'<tr><td>{name}</td><td>{policy}</td><td class="value">{value}</td>'
-            f"<td>{unit}</td></tr>"
-        )
+    policies = list(dict.fromkeys(figure.policy for figure in figures))
+    heads = "".join(f"<th>{html.escape(policy)}</th>" for policy in policies)
+    rows = [f"<tr><th>measurement</th>{heads}<th>unit</th></tr>"]
+    for name, group in _by_name(figures):
+        by_policy = {figure.policy: figure for figure in group}
+        cells = "".join(_value_cell(by_policy.get(policy)) for policy in policies)
+        unit = html.escape(group[0].unit)
+        rows.append(f"<tr><td>{html.escape(name)}</td>{cells}<td>{unit}</td></tr>")
     return "<table>\n" + "\n".join(rows) + "\n</table>"
+
+
+def _value_cell(figure: Figure | None) -> str:
+    if figure is None:
+        return "<td></td>"
+    value = "not measured" if figure.value is None else f"{figure.value:.6g}"
+    return f'<td class="value">{value}</td>'
