--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_changes.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_changes.py
@@ -66,7 +66,7 @@
     """Result of sending a change to each daemon once."""
 
     revision: int | None = None
-    is_doubtful: bool = False
+    is_unknown: bool = False
     failures: tuple[str, ...] = ()
 
 
@@ -101,13 +101,13 @@
         If a daemon refuses the request for another reason.
     """
     deadline = time.monotonic() + settle_timeout_ms / 1000
-    is_doubtful = False
+    is_unknown = False
     while True:
-        attempt = _send_to_each(client, change, is_doubtful=is_doubtful)
+        attempt = _send_to_each(client, change, is_unknown=is_unknown)
         if attempt.revision is not None:
             return attempt.revision
-        is_doubtful = attempt.is_doubtful
-        if not is_doubtful:
+        is_unknown = attempt.is_unknown
+        if not is_unknown:
             reasons = "; ".join(attempt.failures)
             raise UnavailableError(f"Nothing was changed. {reasons}")
         if time.monotonic() >= deadline:
@@ -118,9 +118,7 @@
         time.sleep(_RETRY_DELAY_S)
 
 
-def _send_to_each(
-    client: AdminClient, change: Change, *, is_doubtful: bool
-) -> _Attempt:
+def _send_to_each(client: AdminClient, change: Change, *, is_unknown: bool) -> _Attempt:
     failures = []
     for address in client.addresses:
         try:
@@ -130,23 +128,27 @@
             continue
         except AnswerLostError:
             answer = None
-        is_doubtful = is_doubtful or answer is None or answer.status == 504
-        revision = _conclude(client, change, answer, is_doubtful=is_doubtful)
+        is_unknown = is_unknown or answer is None or answer.status == 504
+        revision = _conclude(client, change, answer, is_unknown=is_unknown)
         if revision is not None:
             return _Attempt(revision=revision)
         if answer is not None:
             failures.append(f"{address}: {answer.detail}")
-    return _Attempt(is_doubtful=is_doubtful, failures=tuple(failures))
+    return _Attempt(is_unknown=is_unknown, failures=tuple(failures))
 
 
 def _conclude(
-    client: AdminClient, change: Change, answer: Answer | None, *, is_doubtful: bool
+    client: AdminClient,
+    change: Change,
+    answer: Answer | None,
+    *,
+    is_unknown: bool,
 ) -> int | None:
     if answer is not None and answer.status == 200:
         tables = answer.body.get("tables") or msgspec.to_builtins(client.tables())
         return tables["revision"]
     # Once an answer was lost, a refusal of the same change proves nothing.
-    if is_doubtful:
+    if is_unknown:
         return _settle(client, change, answer)
     if answer.status == 503:
         return None
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/__init__.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/__init__.py
@@ -8,9 +8,9 @@
 from vanillapitch_core.membership._handle import handle
 from vanillapitch_core.membership._messages import (
     Announce,
-    DoubtChanged,
     Effect,
     Event,
+    LocalHealthChanged,
     MemberChanged,
     Message,
     MessageKind,
@@ -57,7 +57,7 @@
     "MAX_MESSAGE_BYTES",
     "UDP_HEADER_BYTES",
     "Announce",
-    "DoubtChanged",
+    "LocalHealthChanged",
     "Effect",
     "Event",
     "InstanceError",
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_detector.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_detector.py
@@ -1,12 +1,12 @@
-"""Failure detector: pings, indirect pings, suspicion and self-doubt."""
+"""Failure detector: pings, indirect pings, suspicion and local health."""
 
 import math
 
 from vanillapitch_core.membership._dissemination import compose
 from vanillapitch_core.membership._merge import declare_dead, suspect
 from vanillapitch_core.membership._messages import (
-    DoubtChanged,
     Effect,
+    LocalHealthChanged,
     Message,
     MessageKind,
     Send,
@@ -35,14 +35,14 @@
     "record_nack",
     "start_probe",
     "suspicion_timeout_ms",
-    "update_doubt",
+    "update_local_health",
 ]
 
 # Helpers that were heard within this time are likely to answer themselves.
 _RECENT_MS = 15_000.0
 _RECENT_HELPERS = 2
 # Fewer failed pings than this say nothing about this daemon.
-_MIN_DOUBT_PINGS = 3
+_MIN_HEALTH_PINGS = 3
 
 
 def next_sequence(state: MembershipState) -> int:
@@ -78,11 +78,11 @@
         return
     state.probes_by_sequence.clear()
     state.relays_by_sequence.clear()
-    state.doubt_until_ms = now_ms + state.settings.doubt_ms
+    state.degraded_until_ms = now_ms + state.settings.degraded_ms
     state.next_probe_ms = now_ms
 
 
-def update_doubt(state: MembershipState, now_ms: float) -> list[Effect]:
+def update_local_health(state: MembershipState, now_ms: float) -> list[Effect]:
     """Decide whether this daemon takes itself for the faulty part.
 
     While it does, the time to refute does not run, so that nobody is declared dead
@@ -100,19 +100,19 @@
     list of Effect
         A change of the judgement.
     """
-    was_paused = now_ms < state.doubt_until_ms
+    was_paused = now_ms < state.degraded_until_ms
     is_cut_off = _is_cut_off(state)
-    in_doubt = was_paused or is_cut_off
-    if in_doubt:
+    is_degraded = was_paused or is_cut_off
+    if is_degraded:
         for suspicion in state.suspicions_by_address.values():
             suspicion.since_ms = now_ms
-    if in_doubt == state.in_doubt:
+    if is_degraded == state.is_degraded:
         return []
-    state.in_doubt = in_doubt
-    if not in_doubt:
-        return [DoubtChanged(in_doubt=False, reason="recovered")]
+    state.is_degraded = is_degraded
+    if not is_degraded:
+        return [LocalHealthChanged(is_degraded=False, reason="recovered")]
     reason = "paused" if was_paused else "pings_failed"
-    return [DoubtChanged(in_doubt=True, reason=reason)]
+    return [LocalHealthChanged(is_degraded=True, reason=reason)]
 
 
 def start_probe(state: MembershipState, now_ms: float) -> list[Effect]:
@@ -210,7 +210,7 @@
     list of Effect
         Changes.
     """
-    if state.in_doubt:
+    if state.is_degraded:
         return []
     effects: list[Effect] = []
     for address, suspicion in list(state.suspicions_by_address.items()):
@@ -423,7 +423,7 @@
 
 
 def _is_cut_off(state: MembershipState) -> bool:
-    if len(state.unexplained) < _MIN_DOUBT_PINGS:
+    if len(state.unexplained) < _MIN_HEALTH_PINGS:
         return False
     return 2 * sum(state.unexplained) >= len(state.unexplained)
 
@@ -496,7 +496,7 @@
     """Suspect a target when a helper could not reach it either.
 
     A failed ping without any report may be this daemon's own fault; it counts
-    towards self-doubt only. With a single other member there are no helpers.
+    towards local health only. With a single other member there are no helpers.
     """
     record = state.members_by_address.get(probe.address)
     if record is None or record.instance != probe.instance or record.has_ended:
@@ -504,7 +504,7 @@
     has_helpers = live_count(state) > 1
     is_explained = probe.nack_count > 0 or not has_helpers
     state.unexplained.append(not is_explained)
-    if not is_explained or state.in_doubt:
+    if not is_explained or state.is_degraded:
         return []
     return suspect(state, now_ms, probe.address)
 
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_handle.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_handle.py
@@ -66,7 +66,7 @@
 def _tick(state: MembershipState, event: Tick) -> list[Effect]:
     now_ms = event.now_ms
     detector.note_pause(state, now_ms)
-    effects = detector.update_doubt(state, now_ms)
+    effects = detector.update_local_health(state, now_ms)
     effects += detector.expire_relays(state, now_ms)
     effects += detector.advance_probes(state, now_ms)
     effects += detector.expire_suspicions(state, now_ms)
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_messages.py
@@ -12,7 +12,7 @@
 
 __all__ = [
     "Announce",
-    "DoubtChanged",
+    "LocalHealthChanged",
     "Effect",
     "Event",
     "MemberChanged",
@@ -292,18 +292,18 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class DoubtChanged(Effect):
-    """Self-doubt of this daemon began or ended.
+class LocalHealthChanged(Effect):
+    """The local health of this daemon changed.
 
     Attributes
     ----------
-    in_doubt : bool
+    is_degraded : bool
         Whether it now withholds suspicions.
     reason : str
         ``paused``, ``pings_failed`` or ``recovered``.
     """
 
-    in_doubt: bool
+    is_degraded: bool
     reason: str
 
 
--- a/packages/vanillapitch-core/src/vanillapitch_core/membership/_state.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/membership/_state.py
@@ -59,10 +59,10 @@
         Accusers after which the shorter time is in force.
     pause_ms : float
         Time between two ticks above which the daemon was paused.
-    doubt_ms : float
+    degraded_ms : float
         Time after a pause in which no suspicion is raised.
-    doubt_window : int
-        Recent pings that are considered for self-doubt.
+    health_window : int
+        Recent pings that are considered for local health.
     sends_per_log : float
         Sends of an update per base-2 logarithm of the number of members.
     urgent_fanout : int
@@ -103,8 +103,8 @@
     max_suspicion_ms: float = 30_000.0
     confirmation_count: int = 3
     pause_ms: float = 1_500.0
-    doubt_ms: float = 5_000.0
-    doubt_window: int = 8
+    degraded_ms: float = 5_000.0
+    health_window: int = 8
     sends_per_log: float = 1.5
     urgent_fanout: int = 3
     urgent_gap_ms: float = 50.0
@@ -229,7 +229,7 @@
     Attributes
     ----------
     since_ms : float
-        Start of the time to refute; moves while this daemon doubts itself.
+        Start of the time to refute; moves while this daemon is degraded.
     accusers : set of bytes
         Members whose own pings failed.
     """
@@ -259,8 +259,8 @@
     revision: int = 0
     sequence: int = 0
     last_urgent_ms: float = -math.inf
-    doubt_until_ms: float = -math.inf
-    in_doubt: bool = False
+    degraded_until_ms: float = -math.inf
+    is_degraded: bool = False
     members_by_address: dict[str, MemberRecord] = dataclasses.field(
         default_factory=dict
     )
@@ -337,7 +337,7 @@
         next_ended_ping_ms=now_ms + rng.uniform(0.0, settings.ended_ping_ms),
         next_seed_ping_ms=now_ms,
     )
-    state.unexplained = collections.deque(maxlen=settings.doubt_window)
+    state.unexplained = collections.deque(maxlen=settings.health_window)
     state.addresses_by_key[instance_key(own.instance)] = own.address
     state.send_counts_by_address[own.address] = 0
     return state
--- a/packages/vanillapitch-core/tests/test_membership.py
+++ b/packages/vanillapitch-core/tests/test_membership.py
@@ -154,13 +154,13 @@
 
     loop.is_blocked = is_blocked
     loop.run(60_000)
-    assert loop.states_by_address[cut].in_doubt
+    assert loop.states_by_address[cut].is_degraded
     assert len(live_records(loop.states_by_address[cut])) == MEMBERS - 1
     loop.is_blocked = lambda source, target: False
     loop.run(30_000)
     assert declared_dead(loop) <= {cut}
     assert views(loop, cut) == {MemberState.ALIVE}
-    assert not loop.states_by_address[cut].in_doubt
+    assert not loop.states_by_address[cut].is_degraded
 
 
 def test_separated_regions_continue_and_find_each_other():
--- a/packages/vanillapitch-core/tests/test_membership_machine.py
+++ b/packages/vanillapitch-core/tests/test_membership_machine.py
@@ -133,7 +133,7 @@
         running = loop.states_by_address
         for observer, state in running.items():
             # A daemon that is left alone cannot tell that from being cut off.
-            assert not state.in_doubt or len(running) == 1
+            assert not state.is_degraded or len(running) == 1
             for address in running:
                 if address != observer:
                     assert loop.view(observer, address) is MemberState.ALIVE
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_actor.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_actor.py
@@ -249,9 +249,11 @@
             zone=record.zone,
             state=record.state.value,
         )
-    elif isinstance(effect, core.DoubtChanged):
-        write = _log.warning if effect.in_doubt else _log.info
-        write("Self-doubt changed", in_doubt=effect.in_doubt, reason=effect.reason)
+    elif isinstance(effect, core.LocalHealthChanged):
+        write = _log.warning if effect.is_degraded else _log.info
+        write(
+            "Local health changed", is_degraded=effect.is_degraded, reason=effect.reason
+        )
     elif isinstance(effect, core.Refuted):
         _log.warning(
             "Refuted a claim about this daemon",
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/demo.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/demo.py
@@ -94,19 +94,19 @@
     _change_zone(fleet, "out", zone)
     out_ms = _CLOCK.wall_ms()
     _sleep_until(started_s + _KILL_AT_S)
-    victim = next(vm for vm in fleet.vms if vm.zone != zone)
-    counters_of_victim = fleet.counters(victim)
-    victim.backend.kill()
-    _say(f"killed the backend server of {victim.name} in {victim.zone}")
+    killed = next(vm for vm in fleet.vms if vm.zone != zone)
+    killed_counters = fleet.counters(killed)
+    killed.backend.kill()
+    _say(f"killed the backend server of {killed.name} in {killed.zone}")
     _sleep_until(started_s + _ZONE_IN_AT_S)
     in_ms = _CLOCK.wall_ms()
     _change_zone(fleet, "in", zone)
     calls = load.join()
     watch.stop()
     counters_by_vm = {
-        vm.name: fleet.counters(vm) for vm in fleet.vms if vm is not victim
+        vm.name: fleet.counters(vm) for vm in fleet.vms if vm is not killed
     }
-    counters_by_vm[victim.name] = counters_of_victim
+    counters_by_vm[killed.name] = killed_counters
     entries = fleet.journal()
     window = Window(invariant="I3", servers=servers, began_ms=out_ms, ended_ms=in_ms)
     violations = check_calls(calls, entries) + check_windows([window], entries)
