Let the owner check and record crashing requests too

Only the ingress recorded a strike and checked the quarantine, so an ingress that was down or cut off from its peers spread no strike and heard of none. The owner, which sees the crash itself, now records it under the same id and refuses what is quarantined.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -17,7 +17,6 @@
 from vanillapitch_daemon.ingress import (
     BodyMemory,
     CallerServer,
-    Quarantine,
     make_application,
     make_attempter,
     make_claimer,
@@ -38,6 +37,7 @@
     Prober,
 )
 from vanillapitch_daemon.picker import Endpoint, Picker
+from vanillapitch_daemon.quarantine import Quarantine
 from vanillapitch_daemon.settings import PlatformSettings, Settings
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 from vanillapitch_daemon.transport import Transport
@@ -165,12 +165,14 @@
         clock=clock,
         instance=endpoint.instance,
     )
+    quarantine = Quarantine(clock=clock)
     owner = Owner(
         instance=endpoint.instance,
         admission=admission,
         backend=backend,
         load=load,
         snapshot=snapshot,
+        quarantine=quarantine,
         clock=clock,
     )
     transport = Transport(
@@ -198,7 +200,6 @@
         own_instance=endpoint.instance,
         clock=clock,
     )
-    quarantine = Quarantine(clock=clock)
     claims = _build_claims(
         settings.platform,
         instance=endpoint.instance,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
@@ -23,6 +23,7 @@
     BackendUnreached,
     ResponseTooLarge,
 )
+from vanillapitch_daemon.quarantine import QUARANTINE_REFUSAL, Quarantine
 from vanillapitch_daemon.snapshot import LoadSnapshot, TablesSnapshot
 
 __all__ = ["Owner", "OwnerHandler"]
@@ -55,6 +56,9 @@
         Load that the admission publishes.
     snapshot : TablesSnapshot
         Tables in force.
+    quarantine : Quarantine
+        Strikes of crashing requests. The owner checks and records them too, because
+        an ingress that is cut off from its peers hears of no strike and spreads none.
     clock : Clock
         Source of time.
 
@@ -72,9 +76,11 @@
         backend: BackendClient,
         load: LoadSnapshot,
         snapshot: TablesSnapshot,
+        quarantine: Quarantine,
         clock: Clock,
     ):
         self._instance = instance
+        self._quarantine = quarantine
         self._admission = admission
         self._backend = backend
         self._load = load
@@ -118,6 +124,8 @@
                 outcome=Outcome.NOT_RUN,
                 detail="The deadline passed before the request ran.",
             )
+        if self._quarantine.contains(request):
+            return QUARANTINE_REFUSAL
         pending = ask_admission(
             self._admission,
             priority=request.priority,
@@ -171,6 +179,8 @@
             if isinstance(error, BackendTimedOut | BackendCancelled):
                 kind = AnswerKind.ABANDONED
             backend_down = isinstance(error, BackendCrashed | BackendRefused)
+            if isinstance(error, BackendCrashed):
+                self._quarantine.record_crash(request, self._instance)
         finally:
             self.last_answer_at_ms = self._clock.now_ms()
             self._admission.tell(
--- a/packages/vanillapitch-daemon/tests/test_crashes.py
+++ b/packages/vanillapitch-daemon/tests/test_crashes.py
@@ -9,8 +9,8 @@
 from vanillapitch_core import ManualClock, SystemClock
 from vanillapitch_daemon.assembly import build_daemon
 from vanillapitch_daemon.calls import CallerRequest
-from vanillapitch_daemon.ingress import Quarantine
 from vanillapitch_daemon.main import start_daemon, stop_daemon
+from vanillapitch_daemon.quarantine import Quarantine
 
 DAEMONS = 4
 # The bound on the design page within which other daemons know a quarantine.
@@ -83,6 +83,33 @@
     assert code_of(send(daemons[3], "/")) == "ok"
 
 
+def test_owner_refuses_what_its_ingress_has_not_heard_of(make_backend, make_daemons):
+    # Guards against a crashing request through an ingress that is cut off from peers.
+    with socket.create_server(("127.0.0.1", 0)) as unused:
+        dead_port = unused.getsockname()[1]
+    backend = make_backend()
+    ingress, owner = make_daemons(dead_port, backend.server_port)
+    for number in range(2):
+        request = make_request("catalog.example", request_id=str(number))
+        owner.quarantine.record_crash(request, "e/1")
+    ingress.quarantine.set_share(lambda strike: None)
+    codes = {code_of(send(ingress, "/")) for _ in range(5)}
+    assert codes <= {"quarantined", "no_endpoint"}
+    assert "quarantined" in codes
+    assert [path for _, path, _ in backend.requests if path == "/"] == []
+
+
+def test_owner_records_a_crash(make_backend, make_daemons):
+    # Guards against a crash that only an ingress without peers knows of.
+    backend = make_backend(behave=crash_on_poison)
+    other = make_backend()
+    ingress, owner = make_daemons(other.server_port, backend.server_port)
+    deadline_s = time.monotonic() + 10
+    while owner.quarantine.is_empty:
+        assert time.monotonic() < deadline_s
+        send(ingress, f"/poison?{time.monotonic_ns()}")
+
+
 @pytest.mark.parametrize(
     ("first", "second", "quarantined"),
     [
