--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
 	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt \
-		$(EDITABLE) pytest hypothesis ruff
+		$(EDITABLE) pytest hypothesis ruff matplotlib
 	touch $(STAMP)
 
 demo: $(STAMP)
