Clear strikes at the owner when it answers the request

The owner refuses quarantined requests since it checks the strikes, but only an ingress cleared them, so a popular request in flight at two crashes would have been refused by owners that had answered it in between.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
@@ -170,6 +170,8 @@
                 request, deadline_ms=deadline_ms, cancellation=cancellation
             )
             answer = self._refuse_if_shed(request.pool, response)
+            if isinstance(answer, Response):
+                self._quarantine.record_answer(request)
             kind = _kind_of_answer(answer)
         except BackendError as error:
             code, outcome = _REFUSALS_BY_ERROR.get(type(error), _DEFAULT_REFUSAL)
--- a/packages/vanillapitch-daemon/tests/test_crashes.py
+++ b/packages/vanillapitch-daemon/tests/test_crashes.py
@@ -99,6 +99,17 @@
     assert [path for _, path, _ in backend.requests if path == "/"] == []
 
 
+def test_owner_clears_the_strikes_of_an_answered_request(make_backend, make_daemons):
+    # Guards against popular requests, in flight at two crashes, that an owner refuses
+    # although it answered them in between.
+    (daemon,) = make_daemons(make_backend().server_port)
+    request = make_request("catalog.example", request_id="1")
+    daemon.quarantine.record_crash(request, "e/1")
+    assert code_of(send(daemon, "/")) == "ok"
+    daemon.quarantine.record_crash(request, "e/2")
+    assert code_of(send(daemon, "/")) == "ok"
+
+
 def test_owner_records_a_crash(make_backend, make_daemons):
     # Guards against a crash that only an ingress without peers knows of.
     backend = make_backend(behave=crash_on_poison)
