--- a/tests/integration/test_keyed_processes.py
+++ b/tests/integration/test_keyed_processes.py
@@ -60,6 +60,12 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
 
+    def do_GET(self):  # noqa: N802
+        """Answer the health endpoint."""
+        self.send_response(200)
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
     def do_POST(self):  # noqa: N802
         self.rfile.read(int(self.headers["Content-Length"]))
         with self.server.lock:
@@ -93,6 +99,7 @@
             "backend": {
                 "address": f"127.0.0.1:{self.backend.server_port}",
                 "service": "reserve",
+                "announce_by_health": True,
                 "slots": 16,
             },
             "platform": {"addresses": [store_address], "timeout_ms": 500},
