Remove an unused property and name the admission's type as it is

DispatchStatus.outcome had no caller left since refusals carry their outcome, and the node still described the admission as a pykka actor.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -67,7 +67,7 @@
     load : LoadSnapshot
         Load of this daemon's endpoint.
     picker, admission : Monitor
-        The actors on the request path.
+        The monitors on the request path.
     callers : CallerServer
         HTTP towards callers.
     peers : Server
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/calls.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/calls.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Callable
 
-from vanillapitch_core import Outcome, Refusal
+from vanillapitch_core import Refusal
 from vanillapitch_wire.dispatch import Header
 
 __all__ = [
@@ -92,12 +92,3 @@
     LOST = "lost"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
-
-    @property
-    def outcome(self) -> Outcome:
-        """What the end of the attempt says about execution, without a refusal."""
-        if self is DispatchStatus.CONNECT_FAILED:
-            return Outcome.NOT_RUN
-        if self is DispatchStatus.RESPONSE:
-            return Outcome.RAN
-        return Outcome.UNKNOWN
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/node.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/node.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-import pykka
 from vanillapitch_core import Clock
 from vanillapitch_core.membership import MemberRecord, MemberState
 
@@ -16,6 +15,7 @@
 )
 from vanillapitch_daemon.logs import get_log
 from vanillapitch_daemon.metrics import Metrics
+from vanillapitch_daemon.monitor import Monitor
 from vanillapitch_daemon.owner import SetState
 from vanillapitch_daemon.picker import Endpoint
 from vanillapitch_daemon.settings import Settings
@@ -40,10 +40,10 @@
         The validated settings.
     endpoint : Endpoint
         This daemon's own endpoint.
-    admission : pykka.ActorRef
-        The admission actor, which learns what the backend server announces.
+    admission : Monitor
+        The admission, which learns what the backend server announces.
     load : LoadSnapshot
-        Load that the admission actor publishes.
+        Load that the admission publishes.
     snapshot : TablesSnapshot
         Tables in force.
     metrics : Metrics
@@ -63,7 +63,7 @@
         *,
         settings: Settings,
         endpoint: Endpoint,
-        admission: pykka.ActorRef,
+        admission: Monitor,
         load: LoadSnapshot,
         snapshot: TablesSnapshot,
         metrics: Metrics,
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/handshake.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/handshake.py
@@ -1,5 +1,6 @@
 """Mutual proof of the cluster key at the start of a TCP connection."""
 
+import contextlib
 import hmac
 import os
 import socket
@@ -58,11 +59,9 @@
         The nonce to pass to `accept_handshake`.
     """
     nonce = os.urandom(NONCE_BYTES)
-    try:
+    # A peer that is gone already is reported by the handshake.
+    with contextlib.suppress(OSError):
         sock.sendall(nonce)
-    except OSError:
-        # The peer is gone; the handshake reports it.
-        return nonce
     return nonce
 
 
