--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= hanul
 SECONDS ?= 600
-PACKAGES := core wire platform daemon cli testbed
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/vanillapitch-$(name))
+PACKAGES := core wire store daemon relay cli testbed
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/vanillapitch-$(name)) -e platform
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test check format bench slopes soak generate clean
 
-$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
 	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt \
--- a/conftest.py
+++ b/conftest.py
@@ -3,7 +3,7 @@
 import socket
 
 import pytest
-from vanillapitch_platform import EtcdGatewayStore
+from vanillapitch_store import EtcdGatewayStore
 from vanillapitch_testbed.store import StoreProcess
 
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -5,7 +5,7 @@
 
 from vanillapitch_core import Clock
 from vanillapitch_core.probes import ProbeBudget
-from vanillapitch_platform import EtcdGatewayStore, KeyValueStore
+from vanillapitch_store import EtcdGatewayStore, KeyValueStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 from vanillapitch_wire.dispatch import OWNER_SERVICE, OwnerProcessor
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_attempt.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_attempt.py
@@ -15,7 +15,7 @@
     release_change,
     sender,
 )
-from vanillapitch_platform import KeyValueStore, StoreError
+from vanillapitch_store import KeyValueStore, StoreError
 
 from vanillapitch_daemon.claims._peers import ClaimsPeers
 from vanillapitch_daemon.claims._routes import CommitRoutes
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_part.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_part.py
@@ -5,7 +5,7 @@
 
 import pykka
 from vanillapitch_core import Clock
-from vanillapitch_platform import KeyValueStore
+from vanillapitch_store import KeyValueStore
 
 from vanillapitch_daemon.claims._attempt import make_attempter
 from vanillapitch_daemon.claims._committer import Committer, ShardsChanged
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_store_writer.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_store_writer.py
@@ -13,7 +13,7 @@
     outcome_after_read,
     outcome_of_compare,
 )
-from vanillapitch_platform import (
+from vanillapitch_store import (
     Delete,
     Entry,
     Get,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_changes.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_changes.py
@@ -8,7 +8,7 @@
 from vanillapitch_core import Clock, TableError
 from vanillapitch_core import configuration as core
 from vanillapitch_core.tables import Tables
-from vanillapitch_platform import StoreError, StoreOutcomeUnknown, StoreRejected
+from vanillapitch_store import StoreError, StoreOutcomeUnknown, StoreRejected
 
 from vanillapitch_daemon.configuration._store import TablesStore
 from vanillapitch_daemon.logs import get_log
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_port.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_port.py
@@ -4,7 +4,7 @@
 from vanillapitch_core import TableError
 from vanillapitch_core import configuration as core
 from vanillapitch_core.tables import Tables
-from vanillapitch_platform import StoreError
+from vanillapitch_store import StoreError
 
 from vanillapitch_daemon.admin import (
     AdminUnavailableError,
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_store.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_store.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from vanillapitch_core.tables import Tables, encode_tables, parse_tables
-from vanillapitch_platform import (
+from vanillapitch_store import (
     Delete,
     Entry,
     Get,
@@ -68,7 +68,7 @@
 
         Raises
         ------
-        vanillapitch_platform.StoreError
+        vanillapitch_store.StoreError
             If the store does not answer.
         TableError
             If the document is invalid.
@@ -102,7 +102,7 @@
 
         Raises
         ------
-        vanillapitch_platform.StoreError
+        vanillapitch_store.StoreError
             If the store does not confirm the swap.
         """
         document = encode_tables(tables)
@@ -131,7 +131,7 @@
 
         Raises
         ------
-        vanillapitch_platform.StoreError
+        vanillapitch_store.StoreError
             If the store does not answer.
         """
         newest = self.read().tables.revision
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_watcher.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/configuration/_watcher.py
@@ -6,7 +6,7 @@
 
 from vanillapitch_core import TableError
 from vanillapitch_core.tables import Tables
-from vanillapitch_platform import EventKind, KeyValueStore, StoreCompacted, StoreError
+from vanillapitch_store import EventKind, KeyValueStore, StoreCompacted, StoreError
 
 from vanillapitch_daemon.configuration._store import TABLES_KEY, decode_entry
 from vanillapitch_daemon.logs import get_log
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/fleet.py
@@ -16,7 +16,7 @@
     StartSync,
     Strike,
 )
-from vanillapitch_platform import KeyValueStore
+from vanillapitch_store import KeyValueStore
 from vanillapitch_wire.gossip import decode_members
 from vanillapitch_wire.peers import DigestsReply, TablesReply
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_introducers.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_introducers.py
@@ -8,7 +8,7 @@
 from vanillapitch_core import Clock
 from vanillapitch_core.configuration import choose_by_rendezvous
 from vanillapitch_core.membership import MemberRecord
-from vanillapitch_platform import (
+from vanillapitch_store import (
     KeyValueStore,
     Lease,
     Put,
@@ -105,7 +105,7 @@
 
         Raises
         ------
-        vanillapitch_platform.StoreError
+        vanillapitch_store.StoreError
             If the store does not answer.
         """
         own, *others = self._members()
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/metered_store.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/metered_store.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-from vanillapitch_platform import (
+from vanillapitch_store import (
     Compare,
     GetResult,
     KeyValueStore,
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -17,7 +17,7 @@
 from vanillapitch_daemon.picker import EndpointChanged
 from vanillapitch_daemon.settings import parse_settings
 from vanillapitch_daemon.transport import Transport
-from vanillapitch_platform import EtcdGatewayStore
+from vanillapitch_store import EtcdGatewayStore
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 
--- a/packages/vanillapitch-daemon/tests/test_fleet.py
+++ b/packages/vanillapitch-daemon/tests/test_fleet.py
@@ -25,7 +25,7 @@
 from vanillapitch_daemon.main import start_daemon, stop_daemon
 from vanillapitch_daemon.membership import GetMembers, GossipSocket, NullMeter
 from vanillapitch_daemon.settings import PlatformSettings, SecretsSettings
-from vanillapitch_platform import EtcdGatewayStore, Put
+from vanillapitch_store import EtcdGatewayStore, Put
 from vanillapitch_testbed.store import StoreProcess
 from vanillapitch_wire.gossip import encode_message
 
--- a/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
+++ b/packages/vanillapitch-daemon/tests/test_logs_and_metrics.py
@@ -10,7 +10,7 @@
 from vanillapitch_daemon.logs import configure_logs, get_log
 from vanillapitch_daemon.metered_store import MeteredStore
 from vanillapitch_daemon.metrics import Metrics
-from vanillapitch_platform import StoreRejected, StoreUnavailable
+from vanillapitch_store import StoreRejected, StoreUnavailable
 
 SECRET = 'operator "token" of tests'
 
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/__init__.py
@@ -0,0 +1,1 @@
+"""Data path of vanillapitch on one event loop."""
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -0,0 +1,281 @@
+"""Decisions of an owner: which calls its endpoint gets, and when."""
+
+import bisect
+import collections
+import dataclasses
+import enum
+
+from vanillapitch_core.exceptions import check_invariant
+
+__all__ = [
+    "AdmissionState",
+    "CallTicket",
+    "RefusalReason",
+    "admit_next",
+    "begin",
+    "end",
+    "estimate_wait_ms",
+    "expire",
+    "next_event_ms",
+    "offer",
+    "withdraw",
+]
+
+# Endpoints slow down by 1.7 above four fifths of their slots, so fewer in flight
+# finish more.
+LIMIT_SHARE = 0.8
+# Share of what is left of the latency objective that a call may wait; beyond it another
+# endpoint or a refusal serves the caller better.
+WAIT_SHARE = 0.5
+# The same for a call that is already late, as a share of the time to its deadline.
+LATE_WAIT_SHARE = 0.25
+# Queue length as a multiple of the limit.
+QUEUE_LIMIT_FACTOR = 2
+LATENCY_WEIGHT = 0.1
+# Before the first answer, milliseconds.
+INITIAL_LATENCY_MS = 50.0
+COLD_WINDOW_MS = 1_000.0
+
+
+class RefusalReason(enum.StrEnum):
+    """Why an owner sends a call to no endpoint."""
+
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+    ZONE_OUT = "zone_out"
+    DOWN = "down"
+    UNKNOWN_ENDPOINT = "unknown_endpoint"
+    OTHER_SERVICE = "other_service"
+    COLD = "cold"
+    PAST_DEADLINE = "past_deadline"
+    QUARANTINED = "quarantined"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallTicket:
+    """A call that asks for the endpoint.
+
+    Attributes
+    ----------
+    id : int
+        Unique at this owner.
+    priority : int
+        0 is the highest.
+    due_ms : float
+        When its latency objective passes; the earliest of a priority goes first.
+    wait_until_ms : float
+        When it is refused if it still waits.
+    """
+
+    id: int
+    priority: int
+    due_ms: float
+    wait_until_ms: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AdmissionState:
+    """Everything that decides whether a call is sent.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that the endpoint runs at once.
+    max_connections : int
+        Connections that it accepts.
+    blocked : RefusalReason or None
+        Why it gets nothing at all.
+    cold_until_ms : float
+        Until when it is cold.
+    cold_per_s : float
+        Requests per second while cold.
+    running : set of int
+        Tickets of calls at the endpoint.
+    waiting : list of CallTicket
+        In the order in which they are admitted.
+    latency_ms : float
+        Moving average of the endpoint's execution time.
+    sent_at_ms : deque of float
+        Times of the sends of the last second.
+    """
+
+    slots: int = 1
+    max_connections: int = 1
+    blocked: RefusalReason | None = RefusalReason.UNKNOWN_ENDPOINT
+    cold_until_ms: float = 0.0
+    cold_per_s: float = 0.0
+    running: set[int] = dataclasses.field(default_factory=set)
+    waiting: list[CallTicket] = dataclasses.field(default_factory=list)
+    latency_ms: float = INITIAL_LATENCY_MS
+    sent_at_ms: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+        limit = int(min(self.slots * LIMIT_SHARE, self.max_connections - 1))
+        return max(1, limit)
+
+    def is_cold(self, *, now_ms: float) -> bool:
+        """Tell whether the endpoint bears only its cold rate."""
+        return now_ms < self.cold_until_ms
+
+
+def wait_limit_ms(*, objective_ms: float, remaining_ms: float) -> float:
+    """Return how long a call may wait for the endpoint.
+
+    Parameters
+    ----------
+    objective_ms : float
+        What is left of its latency objective; may be negative.
+    remaining_ms : float
+        What is left until its deadline.
+
+    Returns
+    -------
+    float
+        Milliseconds.
+    """
+    if objective_ms > 0.0:
+        return min(WAIT_SHARE * objective_ms, remaining_ms)
+    return LATE_WAIT_SHARE * max(0.0, remaining_ms)
+
+
+def estimate_wait_ms(state: AdmissionState, ticket: CallTicket) -> float:
+    """Estimate how long a call would wait if it were queued now."""
+    ahead = bisect.bisect_right(state.waiting, _rank(ticket), key=_rank)
+    free = state.limit - len(state.running)
+    if free > ahead:
+        return 0.0
+    return (ahead - free + 1) * state.latency_ms / state.limit
+
+
+def offer(
+    state: AdmissionState, ticket: CallTicket, *, now_ms: float
+) -> RefusalReason | None:
+    """Queue a call, or refuse it at once.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        State of admission.
+    ticket : CallTicket
+        The call.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    RefusalReason or None
+        None when the call was queued; `admit_next` admits it.
+    """
+    if state.blocked is not None:
+        return state.blocked
+    wait_ms = estimate_wait_ms(state, ticket)
+    if now_ms + wait_ms > ticket.wait_until_ms:
+        return RefusalReason.OVERLOADED
+    if state.is_cold(now_ms=now_ms) and len(state.waiting) >= _cold_room(
+        state, now_ms=now_ms
+    ):
+        return RefusalReason.COLD
+    if len(state.waiting) >= QUEUE_LIMIT_FACTOR * state.limit:
+        return RefusalReason.OVERLOADED
+    bisect.insort(state.waiting, ticket, key=_rank)
+    return None
+
+
+def admit_next(state: AdmissionState, *, now_ms: float) -> CallTicket | None:
+    """Take the next call that may be sent now from the queue.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        State of admission.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    CallTicket or None
+        The call; it counts as running until `end`.
+    """
+    if not state.waiting or state.blocked is not None:
+        return None
+    if len(state.running) >= state.limit:
+        return None
+    if state.is_cold(now_ms=now_ms) and _cold_room(state, now_ms=now_ms) <= 0:
+        return None
+    ticket = state.waiting.pop(0)
+    begin(state, ticket, now_ms=now_ms)
+    return ticket
+
+
+def begin(state: AdmissionState, ticket: CallTicket, *, now_ms: float) -> None:
+    """Count a call as sent and running."""
+    check_invariant(ticket.id not in state.running, "a call is sent once")
+    state.running.add(ticket.id)
+    _forget_old_sends(state, now_ms=now_ms)
+    state.sent_at_ms.append(now_ms)
+    check_invariant(len(state.running) <= state.limit, "the limit is kept")
+
+
+def end(state: AdmissionState, ticket: CallTicket, *, latency_ms: float | None) -> None:
+    """Give the place of a call back.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        State of admission.
+    ticket : CallTicket
+        The call.
+    latency_ms : float or None
+        Execution time; None teaches nothing.
+    """
+    state.running.discard(ticket.id)
+    if latency_ms is not None:
+        state.latency_ms += LATENCY_WEIGHT * (latency_ms - state.latency_ms)
+
+
+def withdraw(state: AdmissionState, ticket: CallTicket) -> bool:
+    """Remove a waiting call; return whether it was waiting."""
+    if ticket in state.waiting:
+        state.waiting.remove(ticket)
+        return True
+    return False
+
+
+def expire(state: AdmissionState, *, now_ms: float) -> list[CallTicket]:
+    """Remove and return the calls that waited too long or cannot be sent."""
+    if state.blocked is not None:
+        expired = list(state.waiting)
+    else:
+        expired = [entry for entry in state.waiting if entry.wait_until_ms <= now_ms]
+    for ticket in expired:
+        state.waiting.remove(ticket)
+    return expired
+
+
+def next_event_ms(state: AdmissionState, *, now_ms: float) -> float | None:
+    """Return when the queue changes without another call, or None."""
+    if not state.waiting:
+        return None
+    next_ms = min(ticket.wait_until_ms for ticket in state.waiting)
+    if state.is_cold(now_ms=now_ms) and state.sent_at_ms:
+        next_ms = min(next_ms, state.sent_at_ms[0] + COLD_WINDOW_MS)
+    return next_ms
+
+
+def _cold_room(state: AdmissionState, *, now_ms: float) -> int:
+    _forget_old_sends(state, now_ms=now_ms)
+    return int(state.cold_per_s) - len(state.sent_at_ms)
+
+
+def _forget_old_sends(state: AdmissionState, *, now_ms: float) -> None:
+    while state.sent_at_ms and state.sent_at_ms[0] <= now_ms - COLD_WINDOW_MS:
+        state.sent_at_ms.popleft()
+
+
+def _rank(ticket: CallTicket) -> tuple[int, float]:
+    return (ticket.priority, ticket.due_ms)
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -0,0 +1,125 @@
+"""Announcements of the endpoint on this VM."""
+
+import asyncio
+
+from vanillapitch_store.exceptions import StoreError
+
+from vanillapitch_relay.endpoint_state import apply_announcement, apply_departure
+from vanillapitch_relay.exceptions import AnnouncementInvalid
+from vanillapitch_relay.http_client import HttpAnswer, HttpRequest
+from vanillapitch_relay.http_server import make_answer
+from vanillapitch_relay.line_log import EventLog
+from vanillapitch_relay.model import Announcement, Departure, Dialect
+from vanillapitch_relay.owner import Owner
+from vanillapitch_relay.store_session import DepartureMark, StoreSession
+
+__all__ = ["AnnouncementReceiver"]
+
+_log = EventLog(part="announcements")
+
+# An acknowledgement waits this long for the store; the endpoint gives up after 1 s.
+# Without the store, this process keeps the acknowledgement in memory.
+STORE_WAIT_MS = 500.0
+
+
+class AnnouncementReceiver:
+    """Handles what the endpoint says of itself.
+
+    Parameters
+    ----------
+    owner : Owner
+        The owner.
+    dialect : Dialect
+        Decoder of announcements.
+    session : StoreSession
+        Keeps acknowledged leavings.
+    endpoint_address : str
+        Address of the endpoint on this VM.
+    examine : callable
+        Asks for a health check of a new endpoint.
+    """
+
+    def __init__(
+        self,
+        *,
+        owner: Owner,
+        dialect: Dialect,
+        session: StoreSession,
+        endpoint_address: str,
+        examine,
+    ):
+        self._owner = owner
+        self._dialect = dialect
+        self._session = session
+        self._endpoint_address = endpoint_address
+        self._examine = examine
+
+    async def handle(
+        self, request: HttpRequest, arrived_ms: float, peer_host: str
+    ) -> HttpAnswer:
+        """Answer one announcement; the answer acknowledges it."""
+        try:
+            message = self._dialect.decode_announcement(request.target, request.body)
+        except AnnouncementInvalid as error:
+            _log.warning("announcement_refused", reason=str(error), caller=peer_host)
+            return make_answer(400, b'{"code":"announcement_invalid"}')
+        if isinstance(message, Departure):
+            await self._depart(message)
+        else:
+            await self._announce(message, now_ms=arrived_ms)
+        return make_answer(200, self._dialect.encode_acknowledgement())
+
+    async def _announce(self, announcement: Announcement, *, now_ms: float) -> None:
+        belief = self._owner.parts.belief
+        if announcement.address != self._endpoint_address:
+            _log.warning(
+                "announcement_of_other_address",
+                instance=announcement.instance,
+                address=announcement.address,
+            )
+            return
+        was_leaving = belief.leaving
+        before = belief.instance
+        believed = apply_announcement(belief, announcement, now_ms=now_ms)
+        if not believed:
+            _log.info(
+                "announcement_old",
+                instance=announcement.instance,
+                sequence=announcement.sequence,
+                born_ms=announcement.born_ms,
+                known_instance=belief.instance,
+                known_sequence=belief.sequence,
+                known_born_ms=belief.born_ms,
+            )
+            return
+        if before != belief.instance or not belief.verified:
+            self._owner.parts.pool.close_all()
+            self._examine()
+        self._owner.refresh()
+        if belief.leaving and not was_leaving:
+            await self._store_departure()
+
+    async def _depart(self, departure: Departure) -> None:
+        belief = self._owner.parts.belief
+        if not apply_departure(belief, departure.instance):
+            _log.info(
+                "departure_of_other_instance",
+                instance=departure.instance,
+                known_instance=belief.instance,
+            )
+            return
+        self._owner.refresh()
+        await self._store_departure()
+
+    async def _store_departure(self) -> None:
+        belief = self._owner.parts.belief
+        mark = DepartureMark(instance=belief.left_instance, born_ms=belief.left_born_ms)
+        try:
+            async with asyncio.timeout(STORE_WAIT_MS / 1_000.0):
+                await self._session.write_departure(mark)
+        except (StoreError, TimeoutError) as error:
+            _log.warning(
+                "departure_not_stored", instance=mark.instance, reason=repr(error)
+            )
+        else:
+            _log.info("departure_stored", instance=mark.instance)
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -0,0 +1,372 @@
+"""Assembly of a daemon: listeners, tasks, signals and the graceful stop."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+from collections.abc import Callable
+
+from vanillapitch_core.clock import Clock, SystemClock
+from vanillapitch_store.exceptions import StoreError
+from vanillapitch_wire.relay import MemberInfo
+
+from vanillapitch_relay.announcements import AnnouncementReceiver
+from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.endpoint_monitor import EndpointMonitor
+from vanillapitch_relay.endpoint_pool import EndpointPool
+from vanillapitch_relay.endpoint_state import EndpointBelief, apply_departure_mark
+from vanillapitch_relay.exceptions import SettingsInvalid
+from vanillapitch_relay.http_client import HttpAnswer, HttpRequest
+from vanillapitch_relay.http_server import (
+    CallerConnection,
+    Handler,
+    ServerState,
+    make_answer,
+)
+from vanillapitch_relay.hub import Hub
+from vanillapitch_relay.ingress import Ingress
+from vanillapitch_relay.line_log import EventLog, LineWriter
+from vanillapitch_relay.metrics import Metrics
+from vanillapitch_relay.model import Dialect, Settings
+from vanillapitch_relay.owner import Owner, OwnerParts
+from vanillapitch_relay.quarantine import Quarantine
+from vanillapitch_relay.retry_budget import SharedRetryBudget
+from vanillapitch_relay.store_port import AsyncKeyValueStore
+from vanillapitch_relay.store_session import StoreSession
+
+__all__ = ["run_daemon"]
+
+_log = EventLog(part="daemon")
+
+# Log lines are written, links checked and the end of a cold start noticed this often.
+UPKEEP_INTERVAL_MS = 100.0
+# Readiness checks come once a second and two misses take a VM out, so callers may open
+# connections until then.
+MIN_STOP_MS = 2_600.0
+# Answers are written and the process ends within this time before the kill.
+STOP_MARGIN_MS = 400.0
+DEPARTURE_RETRY_MS = 300.0
+BACKLOG = 1_024
+
+
+def run_daemon(
+    *,
+    settings: Settings,
+    dialect: Dialect,
+    make_store: Callable[[Settings], AsyncKeyValueStore],
+    reload: Callable[[], Settings],
+) -> int:
+    """Run a daemon until it is stopped by a signal.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    dialect : Dialect
+        What the platform speaks.
+    make_store : callable
+        Builds the client of the platform's store.
+    reload : callable
+        Reads the settings again; raises `SettingsInvalid`.
+
+    Returns
+    -------
+    int
+        Exit code of the process.
+    """
+    clock = SystemClock()
+    writer = LineWriter(clock=clock)
+    root = logging.getLogger()
+    root.handlers[:] = [writer]
+    root.setLevel(logging.INFO)
+    daemon = Daemon(
+        settings=settings,
+        dialect=dialect,
+        clock=clock,
+        store=make_store(settings),
+        writer=writer,
+        reload=reload,
+    )
+    asyncio.run(daemon.run())
+    writer.flush()
+    return 0
+
+
+class Daemon:
+    """One daemon with all its parts.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings.
+    dialect : Dialect
+        What the platform speaks.
+    clock : Clock
+        Source of time.
+    store : AsyncKeyValueStore
+        The platform's store.
+    writer : LineWriter
+        Where log lines go.
+    reload : callable
+        Reads the settings again.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        dialect: Dialect,
+        clock: Clock,
+        store: AsyncKeyValueStore,
+        writer: LineWriter,
+        reload: Callable[[], Settings],
+    ):
+        self.settings = settings
+        self._dialect = dialect
+        self._clock = clock
+        self._writer = writer
+        self._reload = reload
+        self._stop_requested = asyncio.Event()
+        self._stopping = False
+        self._metrics = Metrics()
+        self._configuration = ConfigurationState(
+            dialect=dialect, on_change=self._on_configuration
+        )
+        self._hub = Hub(
+            member=MemberInfo(
+                node=settings.node,
+                address=settings.peer_address,
+                service_name=settings.service,
+                zone=settings.zone,
+            ),
+            clock=clock,
+            configuration=self._configuration,
+        )
+        self._quarantine = Quarantine(clock=clock, share=self._hub.publish_strike)
+        self._owner = Owner(
+            parts=self._make_owner_parts(),
+            publish=self._hub.publish_report,
+            examine=self._examine,
+        )
+        self._hub.owner = self._owner
+        self._hub.quarantine = self._quarantine
+        self._monitor = EndpointMonitor(
+            owner=self._owner, configuration=lambda: self._configuration.configuration
+        )
+        self._session = StoreSession(
+            store=store,
+            keys=dialect.keys,
+            settings=settings,
+            clock=clock,
+            configuration=self._configuration,
+            metrics=self._metrics,
+            on_members=self._hub.set_listed,
+        )
+        self._budget = SharedRetryBudget(bounds=settings.bounds)
+        self._hub.on_members = self._on_members
+        self._ingress = Ingress(
+            settings=settings,
+            dialect=dialect,
+            clock=clock,
+            configuration=self._configuration,
+            hub=self._hub,
+            owner=self._owner,
+            quarantine=self._quarantine,
+            budget=self._budget,
+            metrics=self._metrics,
+        )
+        self._receiver = AnnouncementReceiver(
+            owner=self._owner,
+            dialect=dialect,
+            session=self._session,
+            endpoint_address=settings.endpoint_address,
+            examine=self._examine,
+        )
+        self._callers = self._make_server(
+            self._ingress.handle, may_run_ahead=self._ingress.may_run_ahead
+        )
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then finish what is under way."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        await self._listen()
+        for job in (
+            self._session.follow(),
+            self._session.register(),
+            self._monitor.run(),
+            self._learn_departure(),
+            self._upkeep(),
+        ):
+            task = loop.create_task(job)
+            task.add_done_callback(self._on_task_end)
+            self._tasks.append(task)
+        _log.info(
+            "started",
+            node=self.settings.node,
+            zone=self.settings.zone,
+            service=self.settings.service,
+            endpoint=self.settings.endpoint_address,
+        )
+        await self._stop_requested.wait()
+        await self._stop()
+
+    def _make_owner_parts(self) -> OwnerParts:
+        settings = self.settings
+        return OwnerParts(
+            belief=EndpointBelief(service=settings.service),
+            pool=EndpointPool(
+                address=settings.endpoint_address,
+                echo_header=self._dialect.headers.request_id,
+                clock=self._clock,
+            ),
+            dialect=self._dialect,
+            clock=self._clock,
+            quarantine=self._quarantine,
+            metrics=self._metrics,
+            zone_in_service=lambda: settings.zone not in self._configuration.zones_out,
+            revision=lambda: self._configuration.changed_revision,
+        )
+
+    def _make_server(self, handle: Handler, **options) -> ServerState:
+        return ServerState(
+            handle=handle,
+            limits=lambda: self._configuration.limits,
+            clock=self._clock,
+            **options,
+        )
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        listeners = (
+            (settings.caller_address, self._callers),
+            (settings.announce_address, self._make_server(self._receiver.handle)),
+            (settings.ready_address, self._make_server(self._answer_readiness)),
+            (settings.metrics_address, self._make_server(self._answer_metrics)),
+        )
+        loop = asyncio.get_running_loop()
+        self._servers.append(await self._hub.listen())
+        for address, state in listeners:
+            host, _, port = address.rpartition(":")
+            server = await loop.create_server(
+                lambda state=state: CallerConnection(state=state),
+                host,
+                int(port),
+                backlog=BACKLOG,
+            )
+            self._servers.append(server)
+
+    async def _answer_readiness(
+        self, request: HttpRequest, arrived_ms: float, peer_host: str
+    ) -> HttpAnswer:
+        if request.target.partition("?")[0] != self._dialect.readiness_path:
+            return make_answer(404, b'{"code":"no_route"}')
+        ready = self._configuration.routes is not None and not self._stopping
+        return make_answer(200 if ready else 503, b"{}")
+
+    async def _answer_metrics(
+        self, request: HttpRequest, arrived_ms: float, peer_host: str
+    ) -> HttpAnswer:
+        self._metrics.set_gauge("requests_in_flight", self._ingress.in_flight)
+        self._metrics.set_gauge("endpoint_running", len(self._owner.admission.running))
+        self._metrics.set_gauge("endpoint_waiting", len(self._owner.admission.waiting))
+        self._metrics.set_gauge("endpoint_connections", self._owner.parts.pool.opened)
+        self._metrics.set_gauge("links", len(self._hub.links_by_node))
+        self._metrics.set_gauge("log_lines_dropped", self._writer.dropped)
+        self._metrics.set_gauge("revision", self._configuration.changed_revision)
+        body = self._metrics.render()
+        return HttpAnswer(
+            status=200,
+            phrase="OK",
+            headers=[(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")],
+            body=body,
+        )
+
+    def _on_configuration(self) -> None:
+        self._owner.refresh()
+        self._hub.publish_revision()
+        self._examine()
+
+    def _on_members(self, count: int) -> None:
+        self._budget.daemons = count
+
+    def _examine(self) -> None:
+        self._monitor.examine()
+
+    async def _learn_departure(self) -> None:
+        """Ask the store once what an earlier process acknowledged."""
+        while True:
+            try:
+                mark = await self._session.read_departure()
+            except StoreError as error:
+                _log.info("departure_unknown", reason=str(error))
+                await asyncio.sleep(DEPARTURE_RETRY_MS / 1_000.0)
+                continue
+            apply_departure_mark(
+                self._owner.parts.belief,
+                instance="" if mark is None else mark.instance,
+                born_ms=-1 if mark is None else mark.born_ms,
+            )
+            self._owner.refresh()
+            self._examine()
+            return
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_INTERVAL_MS / 1_000.0)
+            self._owner.refresh()
+            self._hub.check_links()
+            self._writer.flush()
+
+    def _on_task_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A daemon without one of its tasks would serve on stale beliefs; the platform
+        # starts it again.
+        logging.getLogger("daemon").error(
+            "task_failed", exc_info=task.exception(), extra={"fields": {}}
+        )
+        self._stop_requested.set()
+
+    def _on_reload(self) -> None:
+        try:
+            settings = self._reload()
+        except SettingsInvalid as error:
+            _log.warning("reload_refused", reason=str(error))
+            return
+        self._budget.bounds = settings.bounds
+        self.settings = settings
+        _log.info("reloaded", node=settings.node)
+
+    async def _stop(self) -> None:
+        """Finish requests; callers may send more until the VM is taken out."""
+        started_ms = self._clock.now_ms()
+        self._stopping = True
+        self._owner.stopping = True
+        self._callers.stopping = True
+        _log.info("stopping", in_flight=self._ingress.in_flight)
+        self._hub.publish_stop(self._owner.report())
+        loop = asyncio.get_running_loop()
+        leaving = loop.create_task(self._session.unregister())
+        last_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
+        while True:
+            age_ms = self._clock.now_ms() - started_ms
+            busy = self._ingress.in_flight or self._owner.is_busy
+            if age_ms >= last_ms or (age_ms >= MIN_STOP_MS and not busy):
+                break
+            await asyncio.sleep(0.02)
+        for server in self._servers:
+            server.close()
+        for connection in list(self._callers.connections):
+            connection.close_if_idle()
+        _log.info("stopped", in_flight=self._ingress.in_flight)
+        self._hub.stop()
+        for task in (*self._tasks, leaving):
+            task.cancel()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.sleep(0.02), 0.1)
+        self._writer.flush()
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
@@ -0,0 +1,328 @@
+"""HTTP/1.1 connections to the endpoint on this VM and to the platform's store.
+
+A connection carries one exchange at a time. An answer that does not belong to the
+request is skipped, and a connection whose bytes no longer match its exchanges is never
+used again.
+"""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from vanillapitch_relay.exceptions import (
+    AnswerInvalid,
+    ConnectFailed,
+    ConnectionBroken,
+    RelayError,
+)
+
+__all__ = [
+    "Headers",
+    "HttpAnswer",
+    "HttpConnection",
+    "HttpRequest",
+    "find_header",
+    "open_connection",
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+MAX_HEAD_BYTES = 64 * 1024
+# Same as the largest body that a configuration allows.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Late answers to earlier requests that are skipped before the connection is given up.
+MAX_SKIPPED_ANSWERS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """A request with its whole body.
+
+    Attributes
+    ----------
+    method, target : str
+        Method, and path with query.
+    headers : Headers
+        All headers but the body's length.
+    body : bytes
+        The body.
+    request_id : bytes
+        Value that the answer must echo; empty when none is expected.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+    request_id: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HttpAnswer:
+    """A complete answer."""
+
+    status: int
+    phrase: str
+    headers: Headers
+    body: bytes
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first header with a name in lower case, or None."""
+    for header, value in headers:
+        if header == name:
+            return value
+    return None
+
+
+async def open_connection(
+    address: str, *, timeout_ms: float, echo_header: bytes = b""
+) -> "HttpConnection":
+    """Connect to an HTTP server.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    timeout_ms : float
+        Longest time for connecting.
+    echo_header : bytes
+        Header in which answers echo the id of their request.
+
+    Returns
+    -------
+    HttpConnection
+        The connection.
+
+    Raises
+    ------
+    ConnectFailed
+        If no connection was made.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000.0):
+            _, connection = await loop.create_connection(
+                lambda: HttpConnection(echo_header=echo_header), host, int(port)
+            )
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
+    return connection
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection, used for one exchange after the other.
+
+    Parameters
+    ----------
+    echo_header : bytes
+        Header in which answers echo the id of their request, or empty.
+    """
+
+    def __init__(self, *, echo_header: bytes = b""):
+        self.idle_since_ms = 0.0
+        self.keep_alive_ms: float | None = None
+        self.exchanges = 0
+        self._echo_header = echo_header
+        self._transport: asyncio.Transport | None = None
+        self._parser = h11.Connection(h11.CLIENT)
+        self._waiter: asyncio.Future[HttpAnswer] | None = None
+        self._request: HttpRequest | None = None
+        self._response: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._skipped = 0
+        self._usable = True
+        self._received = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another exchange may begin."""
+        transport = self._transport
+        return (
+            self._usable
+            and self._waiter is None
+            and transport is not None
+            and not transport.is_closing()
+        )
+
+    async def exchange(self, request: HttpRequest) -> HttpAnswer:
+        """Send a request and wait for its answer; cancelling closes the connection.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            The request.
+
+        Returns
+        -------
+        HttpAnswer
+            The complete answer.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection ended first.
+        AnswerInvalid
+            If the bytes are no answer to this request.
+        """
+        if not self.is_usable:
+            raise ConnectionBroken("the connection was closed before the request")
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._request = request
+        self._skipped = 0
+        self._received = False
+        self.exchanges += 1
+        self._begin_cycle()
+        self._transport.write(self._encode(request))
+        try:
+            return await self._waiter
+        finally:
+            if not self._waiter.done() or self._waiter.cancelled():
+                self.close()
+            self._waiter = None
+
+    def close(self) -> None:
+        """Close the connection at once, without sending what is buffered."""
+        self._usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Feed received bytes to the parser."""
+        if self._waiter is None or self._waiter.done():
+            # Nothing was asked, so these bytes belong to no request.
+            self.close()
+            return
+        self._received = True
+        self._feed(data)
+
+    def eof_received(self) -> bool:
+        """Treat the end of the stream as the end of an answer without a length."""
+        if self._waiter is not None and not self._waiter.done():
+            self._usable = False
+            self._feed(b"")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange that is under way."""
+        self._usable = False
+        reason = "reset" if error is not None else "closed"
+        if self._received:
+            reason += " within the answer"
+        self._fail(ConnectionBroken(f"the connection was {reason}"))
+
+    def _begin_cycle(self) -> None:
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._response = None
+        self._body = []
+        self._body_bytes = 0
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = list(request.headers)
+        if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        event = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        parts = [self._parser.send(event)]
+        if request.body:
+            parts.append(self._parser.send(h11.Data(data=request.body)))
+        parts.append(self._parser.send(h11.EndOfMessage()) or b"")
+        return b"".join(parts)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(AnswerInvalid(f"not an HTTP answer: {error}"))
+            self.close()
+
+    def _read_events(self) -> None:
+        while self._waiter is not None and not self._waiter.done():
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._response = event
+            elif isinstance(event, h11.Data):
+                self._add_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._complete()
+            elif isinstance(event, h11.ConnectionClosed):
+                self._fail(ConnectionBroken("the connection was closed"))
+
+    def _add_body(self, data: bytes) -> None:
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            self._fail(AnswerInvalid("the answer is too long"))
+            self.close()
+
+    def _complete(self) -> None:
+        headers = [
+            (bytes(name), bytes(value)) for name, value in self._response.headers
+        ]
+        expected = self._request.request_id
+        echoed = find_header(headers, self._echo_header) if self._echo_header else None
+        if expected and echoed is not None and echoed != expected:
+            self._skip_answer()
+            return
+        self._note_reuse(headers)
+        answer = HttpAnswer(
+            status=self._response.status_code,
+            phrase=self._response.reason.decode("latin-1"),
+            headers=headers,
+            body=b"".join(self._body),
+        )
+        if expected and echoed is None and answer.status < 300:
+            self._fail(AnswerInvalid("the answer does not name its request"))
+            self.close()
+            return
+        self._waiter.set_result(answer)
+
+    def _skip_answer(self) -> None:
+        """Drop a late answer to an earlier request and wait for the right one."""
+        self._skipped += 1
+        rest, closed = self._parser.trailing_data
+        if self._skipped > MAX_SKIPPED_ANSWERS or closed:
+            self._fail(AnswerInvalid("the answer belongs to another request"))
+            self.close()
+            return
+        request = self._request
+        self._begin_cycle()
+        self._encode(request)
+        # Bytes of one answer too many may follow, so this is the last exchange.
+        self._usable = False
+        self._parser.receive_data(rest)
+
+    def _note_reuse(self, headers: Headers) -> None:
+        rest, closed = self._parser.trailing_data
+        unsent = self._transport.get_write_buffer_size()
+        if rest or closed or unsent or self._parser.their_state is not h11.DONE:
+            self._usable = False
+        keep_alive = find_header(headers, b"keep-alive")
+        if keep_alive is not None:
+            self.keep_alive_ms = _parse_keep_alive(keep_alive)
+
+    def _fail(self, error: RelayError) -> None:
+        self._usable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(error)
+
+
+def _parse_keep_alive(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, text = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and text.strip().isdigit():
+            return int(text) * 1_000.0
+    return None
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -0,0 +1,447 @@
+"""HTTP/1.1 connections of callers.
+
+Every request has a parser of its own, so that requests sent one behind the other are
+handled at the same time and answered in their order.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import h11
+import msgspec
+from vanillapitch_core.clock import Clock
+
+from vanillapitch_relay.exceptions import RequestInvalid
+from vanillapitch_relay.http_client import Headers, HttpAnswer, HttpRequest, find_header
+from vanillapitch_relay.model import ClientLimits
+
+__all__ = ["BodyBudget", "CallerConnection", "Handler", "ServerState", "make_answer"]
+
+# Requests of one connection that are read before the first is answered.
+MAX_PIPELINED = 32
+# Bytes of bodies that callers may have in the process at once.
+MAX_BODY_BYTES_HELD = 96 * 1024 * 1024
+# A caller that does not read its answers is cut off after this many milliseconds.
+WRITE_TIMEOUT_MS = 10_000.0
+_PHRASES = {
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+
+Handler = Callable[[HttpRequest, float, str], Awaitable[HttpAnswer]]
+
+
+def make_answer(
+    status: int, body: bytes, *, headers: Headers | None = None
+) -> HttpAnswer:
+    """Build an answer of the daemon itself.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    body : bytes
+        JSON text.
+    headers : Headers or None
+        Further headers.
+
+    Returns
+    -------
+    HttpAnswer
+        The answer.
+    """
+    return HttpAnswer(
+        status=status,
+        phrase=_PHRASES.get(status, "OK"),
+        headers=[(b"content-type", b"application/json"), *(headers or [])],
+        body=body,
+    )
+
+
+def strip_hop_headers(headers: Headers) -> Headers:
+    """Return the headers that do not concern only one connection."""
+    named = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in _HOP_HEADERS and name not in named
+    ]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class BodyBudget:
+    """Bytes of request bodies that are held."""
+
+    held: int = 0
+
+    def take(self, size: int) -> bool:
+        """Take bytes from the budget; return whether there was room."""
+        if self.held + size > MAX_BODY_BYTES_HELD:
+            return False
+        self.held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Return bytes to the budget."""
+        self.held -= size
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerState:
+    """What all connections of one listener share.
+
+    Attributes
+    ----------
+    handle : Handler
+        Called with each complete request, its time of arrival in ms and the caller's
+        host.
+    limits : callable
+        Returns the limits in force.
+    clock : Clock
+        Source of time.
+    connections : set of CallerConnection
+        Open connections.
+    stopping : bool
+        Whether connections are closed after their next answer.
+    may_run_ahead : callable
+        Whether a request may be handled before earlier ones of its connection are
+        answered.
+    """
+
+    handle: Handler
+    limits: Callable[[], ClientLimits]
+    clock: Clock
+    may_run_ahead: Callable[[HttpRequest], bool] = lambda request: True
+    connections: set["CallerConnection"] = dataclasses.field(default_factory=set)
+    stopping: bool = False
+    body_budget: BodyBudget = dataclasses.field(default_factory=BodyBudget)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _Exchange:
+    """A request that was read and its answer."""
+
+    parser: h11.Connection
+    request: HttpRequest | None
+    arrived_ms: float
+    close_after: bool
+    body_bytes: int
+    task: asyncio.Task | None = None
+    answer: HttpAnswer | None = None
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    state : ServerState
+        What the listener's connections share.
+    """
+
+    def __init__(self, *, state: ServerState):
+        self._state = state
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = self._new_parser()
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._reading_ended = False
+        self._closed = False
+        self._read_paused = False
+        self._in_message = False
+        self._since_ms = state.clock.now_ms()
+        self._timer: asyncio.TimerHandle | None = None
+        self._pending = b""
+        self._peer_host = ""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Register the connection."""
+        self._transport = transport
+        self._peer_host = transport.get_extra_info("peername", ("", 0))[0]
+        self._state.connections.add(self)
+        self._arm_timer()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the requests of a caller that is gone."""
+        self._closed = True
+        self._state.connections.discard(self)
+        self._state.body_budget.give_back(self._body_bytes)
+        self._body_bytes = 0
+        if self._timer is not None:
+            self._timer.cancel()
+        for exchange in self._exchanges:
+            if exchange.task is not None:
+                exchange.task.cancel()
+            else:
+                self._release(exchange)
+        self._exchanges.clear()
+
+    def eof_received(self) -> bool:
+        """Close when the caller closes; nobody is left to read an answer."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Read requests."""
+        if self._reading_ended or self._closed:
+            return
+        if not self._in_message:
+            self._in_message = True
+            self._since_ms = self._state.clock.now_ms()
+        self._pending += data
+        self._read_requests()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is being read or handled."""
+        if not self._is_busy and not self._closed:
+            self._transport.close()
+
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a request is being read or handled."""
+        return bool(self._exchanges) or self._in_message
+
+    def _new_parser(self) -> h11.Connection:
+        limit = self._state.limits().max_header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+
+    def _read_requests(self) -> None:
+        while not self._reading_ended and not self._closed:
+            if len(self._exchanges) >= MAX_PIPELINED:
+                self._pause_reading()
+                return
+            if self._pending:
+                data, self._pending = self._pending, b""
+                self._parser.receive_data(data)
+            try:
+                complete = self._read_events()
+            except h11.RemoteProtocolError as error:
+                self._refuse(str(error), status=error.error_status_hint)
+                return
+            except RequestInvalid as error:
+                self._refuse(str(error), status=error.status)
+                return
+            if not complete:
+                return
+
+    def _read_events(self) -> bool:
+        """Read events of the current request; return whether it is complete."""
+        while True:
+            event = self._parser.next_event()
+            if isinstance(event, h11.Request):
+                self._head = event
+                self._check_head(event)
+                if self._parser.they_are_waiting_for_100_continue:
+                    self._send_continue()
+            elif isinstance(event, h11.Data):
+                self._add_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish_request()
+                return True
+            else:
+                return False
+
+    def _check_head(self, head: h11.Request) -> None:
+        names = [bytes(name) for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise RequestInvalid("two lengths of one body", status=400)
+        if head.http_version == b"1.0" and b"transfer-encoding" in names:
+            raise RequestInvalid("HTTP/1.0 has no transfer encodings", status=400)
+        if head.method in (b"CONNECT", b"TRACE"):
+            raise RequestInvalid("the method is not supported", status=501)
+        if not head.target.startswith(b"/"):
+            raise RequestInvalid("the target is not a path", status=400)
+        length = find_header(list(head.headers), b"content-length")
+        limit = self._state.limits().max_body_bytes
+        if length is not None and int(length) > limit:
+            raise RequestInvalid("the body is too large", status=413)
+
+    def _send_continue(self) -> None:
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        if not self._exchanges:
+            self._transport.write(self._parser.send(event))
+
+    def _add_body(self, data: bytes) -> None:
+        if self._body_bytes + len(data) > self._state.limits().max_body_bytes:
+            raise RequestInvalid("the body is too large", status=413)
+        if not self._state.body_budget.take(len(data)):
+            raise RequestInvalid("no memory for another body", status=503)
+        self._body.append(data)
+        self._body_bytes += len(data)
+
+    def _finish_request(self) -> None:
+        head = self._head
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        now_ms = self._state.clock.now_ms()
+        must_close = self._parser.their_state is h11.MUST_CLOSE
+        rest, _ = self._parser.trailing_data
+        exchange = _Exchange(
+            parser=self._parser,
+            request=HttpRequest(
+                method=head.method.decode("ascii"),
+                target=head.target.decode("latin-1"),
+                headers=headers,
+                body=b"".join(self._body),
+            ),
+            arrived_ms=now_ms,
+            close_after=must_close,
+            body_bytes=self._body_bytes,
+        )
+        self._head = None
+        self._body = []
+        self._body_bytes = 0
+        self._reading_ended = must_close
+        self._parser = self._new_parser()
+        self._pending = rest
+        self._in_message = bool(rest)
+        self._since_ms = now_ms
+        self._exchanges.append(exchange)
+        self._start_ready()
+
+    def _start_ready(self) -> None:
+        """Handle the first request, and those behind it that may run ahead."""
+        for position, exchange in enumerate(self._exchanges):
+            if exchange.task is not None or exchange.answer is not None:
+                continue
+            if position > 0 and not self._state.may_run_ahead(exchange.request):
+                return
+            exchange.task = self._loop.create_task(self._handle(exchange))
+
+    async def _handle(self, exchange: _Exchange) -> None:
+        try:
+            answer = await self._state.handle(
+                exchange.request, exchange.arrived_ms, self._peer_host
+            )
+        finally:
+            self._release(exchange)
+        exchange.answer = answer
+        self._send_answers()
+
+    def _release(self, exchange: _Exchange) -> None:
+        self._state.body_budget.give_back(exchange.body_bytes)
+        exchange.body_bytes = 0
+
+    def _send_answers(self) -> None:
+        while self._exchanges and self._exchanges[0].answer is not None:
+            if self._closed:
+                return
+            exchange = self._exchanges.popleft()
+            close = exchange.close_after or self._state.stopping
+            self._write_answer(exchange, close=close)
+            self._since_ms = self._state.clock.now_ms()
+            if close:
+                self._end()
+                return
+        self._start_ready()
+        if self._read_paused and len(self._exchanges) < MAX_PIPELINED:
+            self._read_paused = False
+            self._transport.resume_reading()
+            self._read_requests()
+
+    def _write_answer(self, exchange: _Exchange, *, close: bool) -> None:
+        answer = exchange.answer
+        headers = strip_hop_headers(answer.headers)
+        is_head = exchange.request is not None and exchange.request.method == "HEAD"
+        has_body = answer.status not in (204, 304)
+        if is_head:
+            length = find_header(answer.headers, b"content-length")
+            if length is not None:
+                headers.append((b"content-length", length))
+        elif has_body:
+            headers.append((b"content-length", str(len(answer.body)).encode()))
+        if close:
+            headers.append((b"connection", b"close"))
+        response = h11.Response(
+            status_code=answer.status, reason=answer.phrase, headers=headers
+        )
+        parts = [exchange.parser.send(response)]
+        if answer.body and has_body and not is_head:
+            parts.append(exchange.parser.send(h11.Data(data=answer.body)))
+        parts.append(exchange.parser.send(h11.EndOfMessage()) or b"")
+        self._transport.write(b"".join(parts))
+
+    def _end(self) -> None:
+        """Close after what was written; requests behind the answer were not read."""
+        self._reading_ended = True
+        for exchange in self._exchanges:
+            if exchange.task is not None:
+                exchange.task.cancel()
+            else:
+                self._release(exchange)
+        self._exchanges.clear()
+        self._in_message = False
+        self._transport.close()
+
+    def _refuse(self, reason: str, *, status: int) -> None:
+        """Answer a request that cannot be read, after those before it."""
+        self._reading_ended = True
+        self._in_message = False
+        self._state.body_budget.give_back(self._body_bytes)
+        self._body_bytes = 0
+        body = msgspec.json.encode({"code": "request_invalid", "detail": reason})
+        exchange = _Exchange(
+            parser=self._parser,
+            request=None,
+            arrived_ms=self._state.clock.now_ms(),
+            close_after=True,
+            body_bytes=0,
+            answer=make_answer(status, body),
+        )
+        self._exchanges.append(exchange)
+        self._send_answers()
+
+    def _pause_reading(self) -> None:
+        if not self._read_paused:
+            self._read_paused = True
+            self._transport.pause_reading()
+
+    def _arm_timer(self) -> None:
+        limits = self._state.limits()
+        wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms)
+        self._timer = self._loop.call_later(wait_ms / 2_000.0, self._check_time)
+
+    def _check_time(self) -> None:
+        if self._closed:
+            return
+        limits = self._state.limits()
+        age_ms = self._state.clock.now_ms() - self._since_ms
+        if self._in_message and self._head is None:
+            if age_ms > limits.header_timeout_ms and not self._exchanges:
+                self._refuse("the head took too long", status=408)
+        elif not self._is_busy and age_ms > limits.idle_timeout_ms:
+            self._transport.close()
+        if self._transport.get_write_buffer_size() and age_ms > WRITE_TIMEOUT_MS:
+            self._transport.abort()
+        with contextlib.suppress(RuntimeError):
+            self._arm_timer()
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -0,0 +1,290 @@
+"""All links of a daemon: to owners that it dials and from ingresses that dialled it."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from vanillapitch_core.clock import Clock
+from vanillapitch_wire.relay import (
+    PROTOCOL_VERSION,
+    Call,
+    Cancel,
+    EndpointReport,
+    Hello,
+    MemberInfo,
+    Ping,
+    Pong,
+    Snapshot,
+    SnapshotRequest,
+    Strike,
+)
+
+from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.line_log import EventLog
+from vanillapitch_relay.links import FramedConnection, OwnerLink
+from vanillapitch_relay.owner import Owner
+from vanillapitch_relay.quarantine import Quarantine
+
+__all__ = ["Hub"]
+
+_log = EventLog(part="hub")
+
+# A daemon that is no longer listed is dialled for this long, so that it is found again
+# after an outage of the store; afterwards it counts as gone.
+UNLISTED_MS = 10_000.0
+# Reports are pushed to ingresses that sent a call within this time; the others learn
+# from the answers to their pings.
+PUSH_WITHIN_MS = 1_500.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Incoming:
+    """An ingress that dialled, with its calls under way."""
+
+    connection: FramedConnection
+    tasks_by_call_id: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+
+
+class Hub:
+    """Links by node.
+
+    Parameters
+    ----------
+    member : MemberInfo
+        This daemon.
+    clock : Clock
+        Source of time.
+    configuration : ConfigurationState
+        Exchanged with peers, so that daemons cut off from the store follow.
+    """
+
+    def __init__(
+        self, *, member: MemberInfo, clock: Clock, configuration: ConfigurationState
+    ):
+        self.links_by_node: dict[str, OwnerLink] = {}
+        self.owner: Owner | None = None
+        self.quarantine: Quarantine | None = None
+        self.on_members: Callable[[int], None] = lambda count: None
+        self._member = member
+        self._clock = clock
+        self._configuration = configuration
+        self._listed: dict[str, MemberInfo] = {}
+        self._incoming: dict[FramedConnection, _Incoming] = {}
+
+    async def listen(self) -> asyncio.Server:
+        """Accept ingresses."""
+        host, _, port = self._member.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(self._accept, host, int(port), backlog=512)
+
+    def set_listed(self, members_by_node: dict[str, MemberInfo]) -> None:
+        """Take the members that the store lists.
+
+        Parameters
+        ----------
+        members_by_node : dict of str to MemberInfo
+            All listed daemons, this one included.
+        """
+        self._listed = {
+            node: member
+            for node, member in members_by_node.items()
+            if node != self._member.node
+        }
+        for member in self._listed.values():
+            self._ensure_link(member)
+        self._drop_gone()
+
+    def check_links(self) -> None:
+        """Ping the owners and end links to daemons that are gone."""
+        for link in self.links_by_node.values():
+            link.check()
+        self._drop_gone()
+
+    def _drop_gone(self) -> None:
+        """End links to daemons that are neither listed nor reachable."""
+        now_ms = self._clock.now_ms()
+        for node, link in list(self.links_by_node.items()):
+            gone = node not in self._listed and not link.is_up
+            if gone and now_ms - link.down_since_ms > UNLISTED_MS:
+                _log.info("member_gone", node=node, address=link.member.address)
+                link.stop()
+                del self.links_by_node[node]
+        self.on_members(1 + len(self.links_by_node))
+
+    def publish_report(self, report: EndpointReport) -> None:
+        """Push a report to the ingresses that use this owner."""
+        now_ms = self._clock.now_ms()
+        for incoming in self._incoming.values():
+            if now_ms - incoming.connection.last_call_ms <= PUSH_WITHIN_MS:
+                incoming.connection.send(report)
+
+    def publish_stop(self, report: EndpointReport) -> None:
+        """Tell all ingresses that this daemon stops."""
+        for incoming in self._incoming.values():
+            incoming.connection.send(report)
+
+    def publish_strike(self, strike: Strike) -> None:
+        """Send a strike to all peers."""
+        for link in self.links_by_node.values():
+            link.send(strike)
+        for incoming in self._incoming.values():
+            incoming.connection.send(strike)
+
+    def publish_revision(self) -> None:
+        """Tell all owners at once that the configuration changed."""
+        ping = Ping(number=0, revision=self._configuration.changed_revision)
+        for link in self.links_by_node.values():
+            link.send(ping)
+
+    def make_hello(self) -> Hello:
+        """Return the greeting of this daemon."""
+        return Hello(
+            protocol=PROTOCOL_VERSION,
+            member=self._member,
+            report=self.owner.report(),
+            strikes=self.quarantine.to_share(),
+        )
+
+    def stop(self) -> None:
+        """End all links."""
+        for link in self.links_by_node.values():
+            link.stop()
+        for incoming in list(self._incoming.values()):
+            incoming.connection.abort()
+
+    def _ensure_link(self, member: MemberInfo) -> None:
+        link = self.links_by_node.get(member.node)
+        if link is not None and link.member.address == member.address:
+            return
+        if link is not None:
+            link.stop()
+        link = OwnerLink(
+            member=member,
+            clock=self._clock,
+            make_hello=self.make_hello,
+            revision=lambda: self._configuration.changed_revision,
+            on_message=self._on_link_message,
+        )
+        self.links_by_node[member.node] = link
+        link.start()
+        self.on_members(1 + len(self.links_by_node))
+
+    def _accept(self) -> FramedConnection:
+        connection = FramedConnection(
+            on_message=self._on_incoming_message, on_lost=self._on_incoming_lost
+        )
+        self._incoming[connection] = _Incoming(connection=connection)
+        return connection
+
+    def _on_incoming_lost(self, connection: FramedConnection, reason: str) -> None:
+        incoming = self._incoming.pop(connection, None)
+        if incoming is None:
+            return
+        for task in incoming.tasks_by_call_id.values():
+            task.cancel()
+        if incoming.tasks_by_call_id:
+            _log.info(
+                "ingress_lost",
+                node=connection.node,
+                reason=reason,
+                cancelled=len(incoming.tasks_by_call_id),
+            )
+
+    def _on_incoming_message(
+        self, connection: FramedConnection, message: object
+    ) -> None:
+        incoming = self._incoming.get(connection)
+        if incoming is None:
+            return
+        if isinstance(message, Call):
+            self._start_call(incoming, message)
+        elif isinstance(message, Cancel):
+            task = incoming.tasks_by_call_id.get(message.id)
+            if task is not None:
+                task.cancel()
+        elif isinstance(message, Ping):
+            self._answer_ping(connection, message)
+        elif isinstance(message, Hello):
+            self._welcome(connection, message)
+        else:
+            self._on_peer_message(connection, message)
+
+    def _start_call(self, incoming: _Incoming, call: Call) -> None:
+        connection = incoming.connection
+        connection.last_call_ms = self._clock.now_ms()
+        task = asyncio.get_running_loop().create_task(
+            self.owner.run(call, source=connection.node)
+        )
+        call_id = call.id
+        incoming.tasks_by_call_id[call_id] = task
+
+        def finish(done: asyncio.Task) -> None:
+            incoming.tasks_by_call_id.pop(call_id, None)
+            if done.cancelled():
+                return
+            error = done.exception()
+            if error is not None:
+                _log.warning(
+                    "call_broke", request_id=call.request_id, error=repr(error)
+                )
+                connection.abort()
+                return
+            connection.send(done.result())
+
+        task.add_done_callback(finish)
+
+    def _answer_ping(self, connection: FramedConnection, ping: Ping) -> None:
+        if ping.number:
+            connection.send(Pong(number=ping.number, report=self.owner.report()))
+        if ping.revision > self._configuration.read_revision:
+            self._ask_snapshot(connection)
+
+    def _welcome(self, connection: FramedConnection, hello: Hello) -> None:
+        if hello.protocol != PROTOCOL_VERSION:
+            _log.warning(
+                "protocol_differs", node=hello.member.node, version=hello.protocol
+            )
+            connection.abort()
+            return
+        connection.node = hello.member.node
+        connection.send(self.make_hello())
+        self._ensure_link(hello.member)
+        self._learn_hello(connection, hello)
+
+    def _on_link_message(self, link: OwnerLink, message: object) -> None:
+        if isinstance(message, Hello):
+            self._learn_hello(link, message)
+        elif isinstance(message, Pong):
+            self._compare_revision(link, message.report)
+        elif isinstance(message, EndpointReport):
+            self._compare_revision(link, message)
+        else:
+            self._on_peer_message(link, message)
+
+    def _learn_hello(self, peer: OwnerLink | FramedConnection, hello: Hello) -> None:
+        self._compare_revision(peer, hello.report)
+        for strike in hello.strikes:
+            self.quarantine.hear(strike, source=hello.member.node)
+
+    def _compare_revision(
+        self, peer: OwnerLink | FramedConnection, report: EndpointReport
+    ) -> None:
+        if report.revision > self._configuration.read_revision:
+            self._ask_snapshot(peer)
+
+    def _ask_snapshot(self, peer: OwnerLink | FramedConnection) -> None:
+        peer.send(SnapshotRequest(newer_than=self._configuration.read_revision))
+
+    def _on_peer_message(
+        self, peer: OwnerLink | FramedConnection, message: object
+    ) -> None:
+        if isinstance(message, SnapshotRequest):
+            if self._configuration.read_revision > message.newer_than:
+                peer.send(self._configuration.snapshot())
+        elif isinstance(message, Snapshot):
+            node = peer.member.node if isinstance(peer, OwnerLink) else peer.node
+            self._configuration.take_snapshot(message, source=node)
+        elif isinstance(message, Strike):
+            self.quarantine.hear(message, source="peer")
+        else:
+            _log.warning("message_unexpected", kind=type(message).__name__)
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -0,0 +1,494 @@
+"""The ingress: answers the requests of the callers on this VM."""
+
+import asyncio
+import dataclasses
+import random
+
+import msgspec
+from vanillapitch_core.clock import Clock
+from vanillapitch_core.quarantine import compute_fingerprint
+from vanillapitch_wire.relay import Call, EndpointReport, HeaderField, Reply
+
+from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.http_client import HttpAnswer, HttpRequest, find_header
+from vanillapitch_relay.http_server import make_answer, strip_hop_headers
+from vanillapitch_relay.hub import Hub
+from vanillapitch_relay.line_log import EventLog
+from vanillapitch_relay.links import LinkBroken
+from vanillapitch_relay.metrics import Metrics
+from vanillapitch_relay.model import Dialect, Ending, EndpointState, Route, Settings
+from vanillapitch_relay.owner import Owner
+from vanillapitch_relay.quarantine import Quarantine
+from vanillapitch_relay.ranking import Candidate, order_candidates
+from vanillapitch_relay.retry_budget import SharedRetryBudget
+from vanillapitch_relay.routing import WeightedChoice
+
+__all__ = ["Ingress"]
+
+_log = EventLog(part="ingress")
+
+# Owners that are asked before the caller is refused; each costs one hop inside.
+MAX_OWNERS_ASKED = 3
+# Callers come back after a time drawn from this share of the objective, so that they
+# do not all come back at once.
+RETRY_AFTER_SHARE = (0.15, 0.5)
+# An answer that is late by less is still delivered by the endpoint's deadline.
+DEADLINE_MARGIN_MS = 20.0
+_JSON_STATUS_NOT_RUN = 503
+
+
+class _NotSent(Exception):  # noqa: N818
+    """No owner took the request, so it has not run."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Progress:
+    """What became of one request so far.
+
+    Attributes
+    ----------
+    request : HttpRequest
+        The request.
+    route : Route
+        Its route.
+    service : str
+        Service that the weights chose.
+    request_id : str
+        Id of the attempt.
+    fingerprint : str
+        Identity across attempts.
+    arrived_ms, deadline_ms : float
+        Monotonic times.
+    asked : set of str
+        Owners asked so far.
+    arrivals : int
+        Endpoints that may have received it.
+    may_have_run : bool
+        Whether an endpoint may have run it.
+    refusals : int
+        Owners that refused it.
+    under_way : bool
+        Whether an owner has it now.
+    """
+
+    request: HttpRequest
+    route: Route
+    service: str
+    request_id: str
+    fingerprint: str
+    arrived_ms: float
+    deadline_ms: float
+    asked: set[str] = dataclasses.field(default_factory=set)
+    arrivals: int = 0
+    may_have_run: bool = False
+    refusals: int = 0
+    under_way: bool = False
+
+
+class Ingress:
+    """Forwards requests to owners and answers callers.
+
+    Parameters
+    ----------
+    settings : Settings
+        This daemon.
+    dialect : Dialect
+        Header names.
+    clock : Clock
+        Source of time.
+    configuration : ConfigurationState
+        Routes in force.
+    hub : Hub
+        Links to the other owners.
+    owner : Owner
+        The owner on this VM.
+    quarantine : Quarantine
+        Requests that crash endpoints.
+    budget : SharedRetryBudget
+        Repeats that this daemon may send.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        dialect: Dialect,
+        clock: Clock,
+        configuration: ConfigurationState,
+        hub: Hub,
+        owner: Owner,
+        quarantine: Quarantine,
+        budget: SharedRetryBudget,
+        metrics: Metrics,
+    ):
+        self._settings = settings
+        self._dialect = dialect
+        self._clock = clock
+        self._configuration = configuration
+        self._hub = hub
+        self._owner = owner
+        self._quarantine = quarantine
+        self._budget = budget
+        self._metrics = metrics
+        self._weights = WeightedChoice()
+        self._rng = random.Random()
+        self.in_flight = 0
+
+    async def handle(
+        self, request: HttpRequest, arrived_ms: float, peer_host: str
+    ) -> HttpAnswer:
+        """Answer one request.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            The request with its whole body.
+        arrived_ms : float
+            When it was complete.
+        peer_host : str
+            Host of the caller.
+
+        Returns
+        -------
+        HttpAnswer
+            The endpoint's answer, or one of this daemon.
+        """
+        self.in_flight += 1
+        try:
+            return await self._answer(request, arrived_ms)
+        except asyncio.CancelledError:
+            _log.info(
+                "caller_left",
+                request_id=self._request_id(request),
+                target=request.target,
+            )
+            self._metrics.count_refusal("caller_left")
+            raise
+        except Exception:
+            _log.error("request_broke", request_id=self._request_id(request))
+            self._metrics.count_refusal("internal_error")
+            return make_answer(500, b'{"code":"internal_error"}')
+        finally:
+            self.in_flight -= 1
+
+    def may_run_ahead(self, request: HttpRequest) -> bool:
+        """Tell whether a request may run before earlier ones are answered.
+
+        Requests behind an answer that closes the connection are sent again, so only
+        those that may run twice are.
+        """
+        route = self._match(request)
+        return route is None or route.idempotent
+
+    async def _answer(self, request: HttpRequest, arrived_ms: float) -> HttpAnswer:
+        if self._configuration.routes is None:
+            return self._refuse_unrouted(request, 503, "no_configuration")
+        route = self._match(request)
+        if route is None:
+            return self._refuse_unrouted(request, 404, "no_route")
+        request_id = find_header(request.headers, self._dialect.headers.request_id)
+        if not request_id:
+            return self._refuse_unrouted(request, 400, "no_request_id")
+        deadline_ms = _parse_deadline(
+            find_header(request.headers, self._dialect.headers.deadline)
+        )
+        if deadline_ms is None:
+            return self._refuse_unrouted(request, 400, "deadline_invalid")
+        progress = self._begin(
+            request, route, arrived_ms=arrived_ms, remaining_ms=deadline_ms
+        )
+        answer, reason = await self._forward(progress)
+        self._note_end(progress, answer, reason=reason)
+        return answer
+
+    def _begin(
+        self,
+        request: HttpRequest,
+        route: Route,
+        *,
+        arrived_ms: float,
+        remaining_ms: float,
+    ) -> _Progress:
+        host = find_header(request.headers, b"host") or b""
+        service = self._weights.choose(route)
+        self._budget.record_request(service, now_ms=arrived_ms)
+        return _Progress(
+            request=request,
+            route=route,
+            service=service,
+            request_id=self._request_id(request),
+            fingerprint=compute_fingerprint(
+                method=request.method,
+                host=host.decode("latin-1"),
+                target=request.target,
+                body=request.body,
+            ),
+            arrived_ms=arrived_ms,
+            deadline_ms=arrived_ms + min(remaining_ms, route.timeout_ms),
+        )
+
+    async def _forward(self, progress: _Progress) -> tuple[HttpAnswer, str]:
+        if self._quarantine.is_refused(progress.fingerprint):
+            return self._refuse(progress, "quarantined"), "quarantined"
+        remaining_ms = progress.deadline_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1_000.0):
+                return await self._try_owners(progress)
+        except TimeoutError:
+            if progress.may_have_run or progress.under_way:
+                return self._give_up(504, "deadline"), "deadline"
+            return self._refuse(progress, "deadline_not_run"), "deadline_not_run"
+
+    async def _try_owners(self, progress: _Progress) -> tuple[HttpAnswer, str]:
+        while True:
+            node = self._choose(progress)
+            if node is None:
+                reason = "overloaded" if progress.refusals else "no_endpoint"
+                return self._end_without(progress, reason), reason
+            progress.asked.add(node)
+            reply = await self._call(progress, node)
+            ending = Ending(reply.ending)
+            if ending is Ending.REFUSED:
+                progress.refusals += 1
+                self._metrics.count_retry(f"refused_{reply.reason}"[:40])
+                if progress.refusals >= MAX_OWNERS_ASKED:
+                    return self._end_without(progress, reply.reason), reply.reason
+                continue
+            progress.arrivals += 1
+            if ending is not Ending.REJECTED:
+                progress.may_have_run = True
+            if not self._may_repeat(progress, ending, reply):
+                return self._conclude(progress, ending, reply), reply.reason
+
+    def _choose(self, progress: _Progress) -> str | None:
+        now_ms = self._clock.now_ms()
+        candidates = []
+        own_zone = self._settings.zone
+        if progress.service == self._owner.parts.belief.service:
+            candidates.append(
+                _make_candidate(
+                    self._settings.node, own_zone, self._owner.report(), now_ms=now_ms
+                )
+            )
+        for node, link in self._hub.links_by_node.items():
+            if link.is_up and link.member.service_name == progress.service:
+                candidate = _make_candidate(
+                    node, link.member.zone, link.report, now_ms=link.reported_at_ms
+                )
+                candidate.sent_since_report = link.sent_since_report
+                candidates.append(candidate)
+        usable = [
+            candidate
+            for candidate in candidates
+            if candidate.node not in progress.asked
+            and candidate.zone not in self._configuration.zones_out
+        ]
+        order = order_candidates(usable, zone=own_zone, now_ms=now_ms, rng=self._rng)
+        return order[0] if order else None
+
+    async def _call(self, progress: _Progress, node: str) -> Reply:
+        call = self._make_call(progress)
+        progress.under_way = True
+        try:
+            if node == self._settings.node:
+                return await self._owner.run(call, source=node)
+            return await self._hub.links_by_node[node].call(call)
+        except LinkBroken as error:
+            return Reply(
+                id=call.id,
+                ending=Ending.FAILED.value,
+                reason=f"link: {error}",
+                status=0,
+                phrase="",
+                headers=[],
+                body=b"",
+                report=self._owner.report(),
+            )
+        finally:
+            task = asyncio.current_task()
+            progress.under_way = task is not None and task.cancelling() > 0
+
+    def _make_call(self, progress: _Progress) -> Call:
+        now_ms = self._clock.now_ms()
+        names = self._dialect.headers
+        replaced = (names.deadline, names.expected_instance, names.caller_service)
+        headers = [
+            HeaderField(name=name.decode("latin-1"), value=value.decode("latin-1"))
+            for name, value in strip_hop_headers(progress.request.headers)
+            if name not in replaced
+        ]
+        headers.append(
+            HeaderField(
+                name=names.caller_service.decode("latin-1"),
+                value=self._settings.service,
+            )
+        )
+        objective_ms = progress.arrived_ms + progress.route.objective_ms - now_ms
+        return Call(
+            id=0,
+            request_id=progress.request_id,
+            service_name=progress.service,
+            method=progress.request.method,
+            target=progress.request.target,
+            headers=headers,
+            body=progress.request.body,
+            remaining_ms=int(progress.deadline_ms - now_ms),
+            objective_ms=int(objective_ms),
+            priority=progress.route.priority,
+            idempotent=progress.route.idempotent,
+            fingerprint=progress.fingerprint,
+        )
+
+    def _may_repeat(self, progress: _Progress, ending: Ending, reply: Reply) -> bool:
+        """Decide whether the request is sent to another endpoint."""
+        reason = self._find_repeat_objection(progress, ending, reply)
+        if reason is None:
+            taken = self._budget.take(progress.service, now_ms=self._clock.now_ms())
+            reason = "repeated" if taken else "no_budget"
+        self._metrics.count_retry(reason)
+        if reason != "answered":
+            _log.info(
+                "repeat_decision",
+                request_id=progress.request_id,
+                decision=reason,
+                ending=ending,
+                cause=reply.reason,
+                status=reply.status,
+                arrivals=progress.arrivals,
+            )
+        return reason == "repeated"
+
+    def _find_repeat_objection(
+        self, progress: _Progress, ending: Ending, reply: Reply
+    ) -> str | None:
+        if ending is Ending.ANSWERED and reply.status < 500:
+            return "answered"
+        if progress.arrivals >= progress.route.max_attempts:
+            return "attempts_used"
+        if progress.may_have_run and not progress.route.idempotent:
+            return "not_idempotent"
+        if self._quarantine.is_suspected(progress.fingerprint):
+            return "suspected_crash"
+        if progress.deadline_ms - self._clock.now_ms() < DEADLINE_MARGIN_MS:
+            return "past_deadline"
+        return None
+
+    def _conclude(
+        self, progress: _Progress, ending: Ending, reply: Reply
+    ) -> HttpAnswer:
+        if ending is Ending.ANSWERED:
+            return self._relay(progress, reply)
+        return self._end_without(progress, reply.reason)
+
+    def _relay(self, progress: _Progress, reply: Reply) -> HttpAnswer:
+        # These promise that nothing ran, which an endpoint without its mark does not.
+        if reply.status in (408, 421, 429, 503) and not progress.route.idempotent:
+            return self._give_up(502, "endpoint_unavailable")
+        self._metrics.count_answer("endpoint")
+        return HttpAnswer(
+            status=reply.status,
+            phrase=reply.phrase,
+            headers=[
+                (field.name.encode("latin-1"), field.value.encode("latin-1"))
+                for field in reply.headers
+            ],
+            body=reply.body,
+        )
+
+    def _end_without(self, progress: _Progress, reason: str) -> HttpAnswer:
+        """Answer without an endpoint's answer."""
+        if progress.may_have_run:
+            return self._give_up(502, reason)
+        return self._refuse(progress, reason)
+
+    def _refuse(self, progress: _Progress, reason: str) -> HttpAnswer:
+        """Say truthfully that the request has not run and when to come back."""
+        low, high = RETRY_AFTER_SHARE
+        share = self._rng.uniform(low, high)
+        wait_s = share * progress.route.objective_ms / 1_000.0
+        headers = [(b"retry-after", f"{wait_s:.3f}".encode())]
+        return self._own_answer(_JSON_STATUS_NOT_RUN, reason, headers)
+
+    def _give_up(self, status: int, reason: str) -> HttpAnswer:
+        """Answer without a promise."""
+        return self._own_answer(status, reason, [])
+
+    def _refuse_unrouted(
+        self, request: HttpRequest, status: int, reason: str
+    ) -> HttpAnswer:
+        _log.info(
+            "request",
+            request_id=self._request_id(request),
+            target=request.target,
+            outcome=reason,
+            status=status,
+            version=self._configuration.version,
+        )
+        return self._own_answer(status, reason, [])
+
+    def _own_answer(self, status: int, reason: str, headers: list) -> HttpAnswer:
+        self._metrics.count_answer("daemon")
+        self._metrics.count_refusal(reason[:40])
+        body = msgspec.json.encode({"code": reason})
+        return make_answer(status, body, headers=headers)
+
+    def _match(self, request: HttpRequest) -> Route | None:
+        if self._configuration.routes is None:
+            return None
+        host = find_header(request.headers, b"host") or b""
+        return self._configuration.routes.match(
+            host=host.decode("latin-1"), target=request.target
+        )
+
+    def _request_id(self, request: HttpRequest) -> str:
+        value = find_header(request.headers, self._dialect.headers.request_id)
+        return (value or b"").decode("latin-1")
+
+    def _note_end(
+        self, progress: _Progress, answer: HttpAnswer, *, reason: str
+    ) -> None:
+        took_ms = self._clock.now_ms() - progress.arrived_ms
+        kind = "idempotent" if progress.route.idempotent else "once"
+        self._metrics.observe_latency_ms(kind, took_ms)
+        _log.info(
+            "request",
+            request_id=progress.request_id,
+            route=progress.route.name,
+            service=progress.service,
+            version=self._configuration.version,
+            status=answer.status,
+            outcome=reason or "answered",
+            owners=sorted(progress.asked),
+            arrivals=progress.arrivals,
+            took_ms=round(took_ms, 1),
+            objective_ms=progress.route.objective_ms,
+        )
+
+
+def _make_candidate(
+    node: str, zone: str, report: EndpointReport, *, now_ms: float
+) -> Candidate:
+    return Candidate(
+        node=node,
+        zone=zone,
+        state=EndpointState(report.state),
+        limit=report.limit,
+        in_flight=report.in_flight,
+        waiting=report.waiting,
+        sent_since_report=0,
+        speed_percent=report.speed_percent,
+        failure_percent=report.failure_percent,
+        reported_at_ms=now_ms,
+    )
+
+
+def _parse_deadline(value: bytes | None) -> float | None:
+    if value is None or not value.isdigit() or len(value) > 9:
+        return None
+    return float(value)
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
@@ -0,0 +1,316 @@
+"""Connections between daemons.
+
+An ingress dials every owner that it may send calls to. Calls, replies, cancellations
+and reports share the connection; a ping finds a connection that went silent.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import socket
+from collections.abc import Callable
+
+from vanillapitch_core.clock import Clock
+from vanillapitch_wire.relay import (
+    PROTOCOL_VERSION,
+    Call,
+    Cancel,
+    EndpointReport,
+    FrameDecoder,
+    FrameInvalid,
+    Hello,
+    MemberInfo,
+    Ping,
+    Pong,
+    Reply,
+    encode_frame,
+)
+
+from vanillapitch_relay.line_log import EventLog
+from vanillapitch_relay.model import EndpointState
+
+__all__ = ["FramedConnection", "LinkBroken", "OwnerLink"]
+
+_log = EventLog(part="links")
+
+CONNECT_TIMEOUT_MS = 600.0
+REDIAL_MIN_MS = 100.0
+REDIAL_MAX_MS = 1_000.0
+# A link in use is pinged often, because calls hang on it when it is silent.
+PING_INTERVAL_MS = 400.0
+IDLE_PING_INTERVAL_MS = 2_000.0
+IN_USE_MS = 3_000.0
+# Longest silence after a ping; slow VMs answer within this time.
+SILENCE_MS = 1_000.0
+# Kernel's limit for unacknowledged bytes, milliseconds.
+USER_TIMEOUT_MS = 2_500
+_STATES = frozenset(state.value for state in EndpointState)
+
+
+class LinkBroken(Exception):  # noqa: N818
+    """The link ended while a call was under way."""
+
+
+class FramedConnection(asyncio.Protocol):
+    """A connection that carries frames.
+
+    Parameters
+    ----------
+    on_message : callable
+        Called with the connection and each message.
+    on_lost : callable
+        Called once with the connection and the reason.
+    """
+
+    def __init__(self, *, on_message: Callable, on_lost: Callable):
+        self.node = ""
+        self.last_call_ms = 0.0
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._decoder = FrameDecoder()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take the transport and bound silence of the peer's kernel."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+
+    def data_received(self, data: bytes) -> None:
+        """Decode frames."""
+        try:
+            for message in self._decoder.feed(data):
+                self._on_message(self, message)
+        except FrameInvalid as error:
+            _log.warning("frame_invalid", node=self.node, reason=str(error))
+            self.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report the end."""
+        self._on_lost(self, str(error or "closed"))
+
+    def send(self, message: object) -> None:
+        """Send a message; does nothing on a connection that is closing."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(encode_frame(message))
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class OwnerLink:
+    """The link of this daemon's ingress to one owner.
+
+    Parameters
+    ----------
+    member : MemberInfo
+        The owner.
+    clock : Clock
+        Source of time.
+    make_hello : callable
+        Returns the greeting of this daemon.
+    revision : callable
+        Revision of the last configuration change known here.
+    on_message : callable
+        Called with the link and each message that is not about a call.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: MemberInfo,
+        clock: Clock,
+        make_hello: Callable[[], Hello],
+        revision: Callable[[], int],
+        on_message: Callable[["OwnerLink", object], None],
+    ):
+        self.member = member
+        self.report: EndpointReport | None = None
+        self.reported_at_ms = 0.0
+        self.sent_since_report = 0
+        self.down_since_ms = clock.now_ms()
+        self._clock = clock
+        self._make_hello = make_hello
+        self._revision = revision
+        self._on_other_message = on_message
+        self._connection: FramedConnection | None = None
+        self._futures_by_call_id: dict[int, asyncio.Future[Reply]] = {}
+        self._call_ids = itertools.count(1)
+        self._pings = itertools.count(1)
+        self._last_received_ms = 0.0
+        self._last_used_ms = 0.0
+        self._pinged_ms = 0.0
+        self._misses = 0
+        self._lost = asyncio.Event()
+        self._task: asyncio.Task | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the owner has introduced itself on the current connection."""
+        return self._connection is not None and self.report is not None
+
+    @property
+    def state(self) -> EndpointState:
+        """State of the owner's endpoint."""
+        if self.report is None:
+            return EndpointState.UNKNOWN
+        return EndpointState(self.report.state)
+
+    def start(self) -> None:
+        """Begin to dial."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """End the link."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._connection is not None:
+            self._connection.abort()
+
+    def send(self, message: object) -> None:
+        """Send a message that is not a call."""
+        if self._connection is not None:
+            self._connection.send(message)
+
+    async def call(self, call: Call) -> Reply:
+        """Send a call and wait for its reply; cancelling cancels it at the owner.
+
+        Parameters
+        ----------
+        call : Call
+            The call; its id is set here.
+
+        Returns
+        -------
+        Reply
+            How it ended.
+
+        Raises
+        ------
+        LinkBroken
+            If the link ended; the call may have run.
+        """
+        call.id = next(self._call_ids)
+        future = asyncio.get_running_loop().create_future()
+        self._futures_by_call_id[call.id] = future
+        self.sent_since_report += 1
+        self._last_used_ms = self._clock.now_ms()
+        self.send(call)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.send(Cancel(id=call.id))
+            raise
+        finally:
+            self._futures_by_call_id.pop(call.id, None)
+
+    async def _run(self) -> None:
+        delay_ms = REDIAL_MIN_MS
+        while True:
+            if await self._dial():
+                delay_ms = REDIAL_MIN_MS
+                await self._lost.wait()
+            await asyncio.sleep(delay_ms / 1_000.0)
+            delay_ms = min(REDIAL_MAX_MS, 2.0 * delay_ms)
+
+    async def _dial(self) -> bool:
+        host, _, port = self.member.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._lost.clear()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000.0):
+                _, connection = await loop.create_connection(
+                    lambda: FramedConnection(
+                        on_message=self._on_message, on_lost=self._on_lost
+                    ),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError, ValueError):
+            # The link stays down; its start and end are logged once each.
+            return False
+        connection.node = self.member.node
+        self._connection = connection
+        self._last_received_ms = self._clock.now_ms()
+        connection.send(self._make_hello())
+        return True
+
+    def check(self) -> None:
+        """Ping if it is time, and end a connection whose ping stays unanswered."""
+        connection = self._connection
+        if connection is None:
+            return
+        now_ms = self._clock.now_ms()
+        if self._pinged_ms > self._last_received_ms:
+            # Two checks, because this process itself may have been stopped for a while.
+            self._misses += now_ms - self._pinged_ms >= SILENCE_MS
+            if self._misses >= 2:
+                _log.warning("link_silent", node=self.member.node)
+                connection.abort()
+            return
+        self._misses = 0
+        in_use = now_ms - self._last_used_ms < IN_USE_MS or self._futures_by_call_id
+        interval_ms = PING_INTERVAL_MS if in_use else IDLE_PING_INTERVAL_MS
+        if now_ms - self._pinged_ms >= interval_ms:
+            self._pinged_ms = now_ms
+            self.send(Ping(number=next(self._pings), revision=self._revision()))
+
+    def _on_message(self, connection: FramedConnection, message: object) -> None:
+        if connection is not self._connection:
+            return
+        self._last_received_ms = self._clock.now_ms()
+        if isinstance(message, Reply):
+            self._take_report(message.report)
+            future = self._futures_by_call_id.get(message.id)
+            if future is not None and not future.done():
+                future.set_result(message)
+            return
+        if isinstance(message, EndpointReport):
+            self._take_report(message)
+        elif isinstance(message, Pong):
+            self._take_report(message.report)
+        elif isinstance(message, Hello):
+            self._greet(connection, message)
+        self._on_other_message(self, message)
+
+    def _greet(self, connection: FramedConnection, hello: Hello) -> None:
+        if hello.protocol != PROTOCOL_VERSION:
+            _log.warning(
+                "protocol_differs", node=hello.member.node, version=hello.protocol
+            )
+            connection.abort()
+            return
+        self.member = hello.member
+        self._take_report(hello.report)
+        _log.info("link_up", node=self.member.node, state=hello.report.state)
+
+    def _take_report(self, report: EndpointReport) -> None:
+        if report.state not in _STATES:
+            _log.warning("state_unknown", node=self.member.node, state=report.state)
+            return
+        self.report = report
+        self.reported_at_ms = self._clock.now_ms()
+        self.sent_since_report = 0
+
+    def _on_lost(self, connection: FramedConnection, reason: str) -> None:
+        if connection is not self._connection:
+            return
+        if self.report is not None:
+            _log.warning(
+                "link_down",
+                node=self.member.node,
+                reason=reason,
+                calls=len(self._futures_by_call_id),
+            )
+        self._connection = None
+        self.report = None
+        self.down_since_ms = self._clock.now_ms()
+        for future in self._futures_by_call_id.values():
+            if not future.done():
+                future.set_exception(LinkBroken(reason))
+        self._lost.set()
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -0,0 +1,434 @@
+"""The owner of the endpoint on this VM: decides exactly what the endpoint gets."""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Callable
+
+from vanillapitch_core.clock import Clock
+from vanillapitch_wire.relay import Call, EndpointReport, HeaderField, Reply
+
+from vanillapitch_relay import admission
+from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
+from vanillapitch_relay.endpoint_pool import EndpointPool
+from vanillapitch_relay.endpoint_state import EndpointBelief, classify
+from vanillapitch_relay.exceptions import (
+    AnswerInvalid,
+    ConnectFailed,
+    ConnectionBroken,
+)
+from vanillapitch_relay.failure_share import FailureShare
+from vanillapitch_relay.http_client import (
+    Headers,
+    HttpAnswer,
+    HttpConnection,
+    HttpRequest,
+    find_header,
+)
+from vanillapitch_relay.line_log import EventLog
+from vanillapitch_relay.metrics import Metrics
+from vanillapitch_relay.model import Dialect, Ending, EndpointState
+from vanillapitch_relay.quarantine import Quarantine
+
+__all__ = ["Owner", "OwnerParts"]
+
+_log = EventLog(part="owner")
+
+# A report is sent to the ingresses when occupancy or speed moved by these steps.
+REPORT_OCCUPANCY_STEP = 0.25
+REPORT_SPEED_RATIO = 1.3
+REPORT_INTERVAL_MS = 20.0
+# Below this, an endpoint cannot answer in time.
+MIN_REMAINING_MS = 5.0
+_BLOCKED_BY_STATE = {
+    EndpointState.UNKNOWN: RefusalReason.UNKNOWN_ENDPOINT,
+    EndpointState.LEAVING: RefusalReason.LEAVING,
+    EndpointState.ZONE_OUT: RefusalReason.ZONE_OUT,
+    EndpointState.DOWN: RefusalReason.DOWN,
+    EndpointState.READY: None,
+    EndpointState.COLD: None,
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OwnerParts:
+    """What an owner works with.
+
+    Attributes
+    ----------
+    belief : EndpointBelief
+        What is known of the endpoint.
+    pool : EndpointPool
+        Connections to it.
+    dialect : Dialect
+        Header names and decoders.
+    clock : Clock
+        Source of time.
+    quarantine : Quarantine
+        Requests that crash endpoints.
+    metrics : Metrics
+        Counters.
+    zone_in_service : callable
+        Whether the availability zone is in service.
+    revision : callable
+        Revision of the last configuration change known.
+    """
+
+    belief: EndpointBelief
+    pool: EndpointPool
+    dialect: Dialect
+    clock: Clock
+    quarantine: Quarantine
+    metrics: Metrics
+    zone_in_service: Callable[[], bool]
+    revision: Callable[[], int]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _Waiting:
+    ticket: CallTicket
+    admitted: asyncio.Future
+
+
+class Owner:
+    """Admits calls to the endpoint and carries them out.
+
+    Parameters
+    ----------
+    parts : OwnerParts
+        What it works with.
+    publish : callable
+        Sends a report to the ingresses.
+    examine : callable
+        Asks for a health check at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: OwnerParts,
+        publish: Callable[[EndpointReport], None],
+        examine: Callable[[], None],
+    ):
+        self.parts = parts
+        self.admission = AdmissionState()
+        self.speed_percent = 100
+        self.last_answer_ms = 0.0
+        self.stopping = False
+        self.broken_fingerprints: dict[str, float] = {}
+        self._publish = publish
+        self._examine = examine
+        self._failures = FailureShare()
+        self._ticket_ids = itertools.count(1)
+        self._waiting_by_id: dict[int, _Waiting] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._reported: EndpointReport | None = None
+        self._reported_at_ms = 0.0
+        self._state = EndpointState.UNKNOWN
+
+    def report(self) -> EndpointReport:
+        """Return the state of the endpoint for ingresses."""
+        state = EndpointState.LEAVING if self.stopping else self._state
+        return EndpointReport(
+            state=state.value,
+            instance=self.parts.belief.instance,
+            in_flight=len(self.admission.running),
+            waiting=len(self.admission.waiting),
+            limit=self.admission.limit,
+            speed_percent=self.speed_percent,
+            failure_percent=int(100 * self._failures.share(now_ms=self._now_ms())),
+            revision=self.parts.revision(),
+            latency_ms=self.admission.latency_ms,
+        )
+
+    def refresh(self) -> None:
+        """Apply the belief, the zone and the configuration to admission."""
+        belief = self.parts.belief
+        now_ms = self._now_ms()
+        state = classify(
+            belief, zone_in_service=self.parts.zone_in_service(), now_ms=now_ms
+        )
+        self.admission.blocked = _BLOCKED_BY_STATE[state]
+        self.admission.slots = max(1, belief.slots)
+        self.admission.cold_until_ms = belief.cold_until_ms
+        if state is not self._state:
+            _log.info(
+                "endpoint_state",
+                state=state,
+                before=self._state,
+                instance=belief.instance,
+                born_ms=belief.born_ms,
+                sequence=belief.sequence,
+                cold_ms=round(max(0.0, belief.cold_until_ms - now_ms)),
+                revision=self.parts.revision(),
+            )
+            self._state = state
+            if state is EndpointState.DOWN:
+                self.parts.pool.close_all()
+            self._publish_report(now_ms=now_ms)
+        self._pump()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call runs or waits."""
+        return bool(self.admission.running or self.admission.waiting)
+
+    async def run(self, call: Call, *, source: str) -> Reply:
+        """Carry out a call; cancelling ends its work at the endpoint.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        source : str
+            Daemon that sent it.
+
+        Returns
+        -------
+        Reply
+            How it ended.
+        """
+        arrived_ms = self._now_ms()
+        ticket = self._make_ticket(call, now_ms=arrived_ms)
+        reason = self._find_objection(call) or admission.offer(
+            self.admission, ticket, now_ms=arrived_ms
+        )
+        if reason is None:
+            reason = await self._wait(ticket)
+        if reason is not None:
+            return self._refuse(call, reason, source=source, arrived_ms=arrived_ms)
+        sent_ms = self._now_ms()
+        latency_ms = None
+        try:
+            reply = await self._send(call, arrived_ms=arrived_ms)
+            if reply.ending == Ending.ANSWERED:
+                latency_ms = self._now_ms() - sent_ms
+        finally:
+            admission.end(self.admission, ticket, latency_ms=latency_ms)
+            self._pump()
+            self._publish_if_changed()
+        _log.info(
+            "call",
+            request_id=call.request_id,
+            source=source,
+            outcome=reply.ending,
+            reason=reply.reason,
+            status=reply.status,
+            instance=self.parts.belief.instance,
+            waited_ms=round(sent_ms - arrived_ms, 1),
+            ran_ms=round(self._now_ms() - sent_ms, 1),
+            running=len(self.admission.running),
+            speed=self.speed_percent,
+        )
+        reply.report = self.report()
+        return reply
+
+    def _make_ticket(self, call: Call, *, now_ms: float) -> CallTicket:
+        wait_ms = admission.wait_limit_ms(
+            objective_ms=call.objective_ms, remaining_ms=call.remaining_ms
+        )
+        return CallTicket(
+            id=next(self._ticket_ids),
+            priority=call.priority,
+            due_ms=now_ms + call.objective_ms,
+            wait_until_ms=now_ms + wait_ms,
+        )
+
+    def _find_objection(self, call: Call) -> RefusalReason | None:
+        if call.service_name != self.parts.belief.service:
+            return RefusalReason.OTHER_SERVICE
+        if call.remaining_ms < MIN_REMAINING_MS:
+            return RefusalReason.PAST_DEADLINE
+        if self.parts.quarantine.is_refused(call.fingerprint):
+            return RefusalReason.QUARANTINED
+        return None
+
+    async def _wait(self, ticket: CallTicket) -> RefusalReason | None:
+        future = asyncio.get_running_loop().create_future()
+        self._waiting_by_id[ticket.id] = _Waiting(ticket=ticket, admitted=future)
+        self._pump()
+        self._publish_if_changed()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if not admission.withdraw(self.admission, ticket):
+                # Admitted in the same turn in which the caller left.
+                admission.end(self.admission, ticket, latency_ms=None)
+                self._pump()
+            raise
+        finally:
+            self._waiting_by_id.pop(ticket.id, None)
+
+    def _pump(self) -> None:
+        now_ms = self._now_ms()
+        blocked = self.admission.blocked
+        for ticket in admission.expire(self.admission, now_ms=now_ms):
+            self._settle(ticket, blocked or RefusalReason.OVERLOADED)
+        while (
+            ticket := admission.admit_next(self.admission, now_ms=now_ms)
+        ) is not None:
+            self._settle(ticket, None)
+        self._arm_timer(now_ms=now_ms)
+
+    def _settle(self, ticket: CallTicket, reason: RefusalReason | None) -> None:
+        waiting = self._waiting_by_id.get(ticket.id)
+        if waiting is not None and not waiting.admitted.done():
+            waiting.admitted.set_result(reason)
+
+    def _arm_timer(self, *, now_ms: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        next_ms = admission.next_event_ms(self.admission, now_ms=now_ms)
+        if next_ms is not None:
+            delay_s = max(1.0, next_ms - now_ms) / 1_000.0
+            self._timer = asyncio.get_running_loop().call_later(delay_s, self._pump)
+
+    async def _send(self, call: Call, *, arrived_ms: float) -> Reply:
+        pool = self.parts.pool
+        try:
+            connection = await pool.acquire(idempotent=call.idempotent)
+        except ConnectFailed as error:
+            self._examine()
+            return self._reply(call, Ending.REFUSED, f"connect: {error}")
+        remaining_ms = call.remaining_ms - (self._now_ms() - arrived_ms)
+        if remaining_ms < MIN_REMAINING_MS or self.admission.blocked is not None:
+            pool.release(connection)
+            reason = self.admission.blocked or RefusalReason.PAST_DEADLINE
+            return self._reply(call, Ending.REFUSED, reason)
+        try:
+            return await self._exchange(call, connection, remaining_ms=remaining_ms)
+        finally:
+            pool.release(connection)
+
+    async def _exchange(
+        self, call: Call, connection: HttpConnection, *, remaining_ms: float
+    ) -> Reply:
+        request = self._build_request(call, remaining_ms=remaining_ms)
+        try:
+            async with asyncio.timeout(remaining_ms / 1_000.0):
+                answer = await connection.exchange(request)
+        except TimeoutError:
+            self._record(failed=True)
+            self._examine()
+            return self._reply(call, Ending.FAILED, "deadline")
+        except ConnectionBroken as error:
+            self._record(failed=True)
+            self.broken_fingerprints[call.fingerprint] = self._now_ms()
+            self._examine()
+            return self._reply(call, Ending.FAILED, str(error))
+        except AnswerInvalid as error:
+            self._record(failed=True)
+            return self._reply(call, Ending.FAILED, str(error))
+        return self._classify_answer(call, answer)
+
+    def _build_request(self, call: Call, *, remaining_ms: float) -> HttpRequest:
+        names = self.parts.dialect.headers
+        headers: Headers = [
+            (field.name.encode("latin-1"), field.value.encode("latin-1"))
+            for field in call.headers
+        ]
+        headers.append((names.deadline, str(int(remaining_ms)).encode()))
+        instance = self.parts.belief.instance.encode("latin-1")
+        headers.append((names.expected_instance, instance))
+        return HttpRequest(
+            method=call.method,
+            target=call.target,
+            headers=headers,
+            body=call.body,
+            request_id=call.request_id.encode("latin-1"),
+        )
+
+    def _classify_answer(self, call: Call, answer: HttpAnswer) -> Reply:
+        names = self.parts.dialect.headers
+        self.learn_load(answer.headers)
+        if find_header(answer.headers, names.not_executed) or answer.status == 421:
+            self._record(failed=True)
+            if answer.status == 421:
+                self._examine()
+            return self._reply(call, Ending.REJECTED, f"status {answer.status}")
+        encoding = find_header(answer.headers, b"content-encoding")
+        if encoding not in (None, b"identity"):
+            self._record(failed=True)
+            return self._reply(call, Ending.FAILED, "the answer is encoded")
+        is_success = 200 <= answer.status < 300
+        if is_success and find_header(answer.headers, names.signature) is None:
+            self._record(failed=True)
+            return self._reply(call, Ending.FAILED, "a success without a signature")
+        self._record(failed=answer.status >= 500)
+        self.parts.quarantine.clear(call.fingerprint)
+        reply = self._reply(call, Ending.ANSWERED, "")
+        reply.status = answer.status
+        reply.phrase = answer.phrase
+        reply.headers = [
+            HeaderField(name=name.decode("latin-1"), value=value.decode("latin-1"))
+            for name, value in answer.headers
+        ]
+        reply.body = answer.body
+        return reply
+
+    def learn_load(self, headers: Headers) -> None:
+        """Take the load figures from an answer of the endpoint."""
+        value = find_header(headers, self.parts.dialect.headers.load)
+        if value is None:
+            return
+        figures = self.parts.dialect.decode_load(value)
+        if figures is None:
+            _log.warning("load_unreadable", value=value.decode("latin-1"))
+            return
+        self.last_answer_ms = self._now_ms()
+        self.speed_percent = figures.speed_percent
+
+    def _refuse(
+        self, call: Call, reason: RefusalReason, *, source: str, arrived_ms: float
+    ) -> Reply:
+        _log.info(
+            "call_refused",
+            request_id=call.request_id,
+            source=source,
+            reason=reason,
+            instance=self.parts.belief.instance,
+            waited_ms=round(self._now_ms() - arrived_ms, 1),
+            running=len(self.admission.running),
+            waiting=len(self.admission.waiting),
+            limit=self.admission.limit,
+            objective_ms=call.objective_ms,
+        )
+        self.parts.metrics.count_owner_refusal(reason)
+        return self._reply(call, Ending.REFUSED, reason)
+
+    def _reply(self, call: Call, ending: Ending, reason: str) -> Reply:
+        return Reply(
+            id=call.id,
+            ending=ending.value,
+            reason=str(reason),
+            status=0,
+            phrase="",
+            headers=[],
+            body=b"",
+            report=self.report(),
+        )
+
+    def _record(self, *, failed: bool) -> None:
+        self._failures.record(failed=failed, now_ms=self._now_ms())
+
+    def _publish_if_changed(self) -> None:
+        now_ms = self._now_ms()
+        before = self._reported
+        if before is None or now_ms - self._reported_at_ms < REPORT_INTERVAL_MS:
+            return
+        load = len(self.admission.running) + len(self.admission.waiting)
+        moved = abs(load - before.in_flight - before.waiting)
+        step = max(1.0, REPORT_OCCUPANCY_STEP * self.admission.limit)
+        slower = self.speed_percent > REPORT_SPEED_RATIO * before.speed_percent
+        faster = before.speed_percent > REPORT_SPEED_RATIO * self.speed_percent
+        if moved >= step or slower or faster:
+            self._publish_report(now_ms=now_ms)
+
+    def _publish_report(self, *, now_ms: float) -> None:
+        self._reported = self.report()
+        self._reported_at_ms = now_ms
+        self._publish(self._reported)
+
+    def _now_ms(self) -> float:
+        return self.parts.clock.now_ms()
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
@@ -0,0 +1,112 @@
+"""Order of a service's endpoints for one request, from the owners' reports."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from vanillapitch_relay.model import EndpointState
+
+__all__ = ["Candidate", "order_candidates"]
+
+# Moving between availability zones costs about 1 ms and is paid per byte; a busier
+# endpoint nearby is preferred up to this difference in cost.
+OTHER_ZONE_COST = 0.25
+# The speed of a VM changes about every 300 ms; an old figure approaches the mean.
+SPEED_HALF_LIFE_MS = 150.0
+MEAN_SPEED = 1.75
+# An endpoint that fails half of its requests costs three times as much.
+FAILURE_WEIGHT = 4.0
+COLD_COST = 1.0
+FULL_COST = 4.0
+# Ties are broken at random, so that ingresses with the same reports spread.
+JITTER = 0.05
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Candidate:
+    """An endpoint with what is known of it.
+
+    Attributes
+    ----------
+    node : str
+        Its owner.
+    zone : str
+        Its availability zone.
+    state : EndpointState
+        State in the last report.
+    limit : int
+        Requests that its owner admits at once.
+    in_flight, waiting : int
+        Requests that run and wait, according to the last report.
+    sent_since_report : int
+        Calls of this daemon that the report does not contain.
+    speed_percent : int
+        Speed in the last report.
+    failure_percent : int
+        Share of recent requests that failed.
+    reported_at_ms : float
+        When the report arrived.
+    """
+
+    node: str
+    zone: str
+    state: EndpointState
+    limit: int
+    in_flight: int
+    waiting: int
+    sent_since_report: int
+    speed_percent: int
+    failure_percent: int
+    reported_at_ms: float
+
+
+def order_candidates(
+    candidates: Iterable[Candidate],
+    *,
+    zone: str,
+    now_ms: float,
+    rng: random.Random,
+) -> list[str]:
+    """Order the usable endpoints, the best first.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+        Endpoints of the service.
+    zone : str
+        Availability zone of this daemon.
+    now_ms : float
+        Current time in milliseconds.
+    rng : random.Random
+        Source of randomness.
+
+    Returns
+    -------
+    list of str
+        Nodes of the owners.
+    """
+    costs = []
+    for candidate in candidates:
+        if candidate.state not in (EndpointState.READY, EndpointState.COLD):
+            continue
+        cost = _cost(candidate, zone=zone, now_ms=now_ms)
+        costs.append((cost * (1.0 + JITTER * rng.random()), candidate.node))
+    return [node for _, node in sorted(costs)]
+
+
+def _cost(candidate: Candidate, *, zone: str, now_ms: float) -> float:
+    age_ms = max(0.0, now_ms - candidate.reported_at_ms)
+    trust = 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
+    speed = trust * candidate.speed_percent / 100.0 + (1.0 - trust) * MEAN_SPEED
+    load = candidate.in_flight + candidate.waiting + candidate.sent_since_report
+    occupancy = load / max(1, candidate.limit)
+    queueing = occupancy**2
+    if occupancy >= 1.0:
+        queueing += FULL_COST * (occupancy - 1.0) + 1.0
+    cost = speed * (1.0 + queueing)
+    cost *= 1.0 + FAILURE_WEIGHT * candidate.failure_percent / 100.0
+    if candidate.zone != zone:
+        cost += OTHER_ZONE_COST
+    if candidate.state is EndpointState.COLD:
+        cost += COLD_COST
+    return cost
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/store_port.py
@@ -0,0 +1,54 @@
+"""The platform's store as the relay uses it."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from vanillapitch_store.model import (
+    Compare,
+    Delete,
+    GetResult,
+    Lease,
+    PrefixResult,
+    Put,
+    TransactionResult,
+    WatchResult,
+)
+
+__all__ = ["AsyncKeyValueStore"]
+
+
+class AsyncKeyValueStore(Protocol):
+    """`vanillapitch_store.KeyValueStore` for an event loop, with watches of a prefix.
+
+    Every call returns or raises within a bounded time, with the errors of
+    `vanillapitch_store.exceptions`.
+    """
+
+    async def get(self, key: str) -> GetResult:
+        """Read one key."""
+
+    async def get_prefix(self, prefix: str) -> PrefixResult:
+        """Read all keys that start with a prefix, as of the result's revision.
+
+        Changes that happen during the reading may be contained; a watch from the
+        revision delivers them again.
+        """
+
+    async def watch_prefix(
+        self, prefix: str, *, after_revision: int, timeout_ms: int
+    ) -> WatchResult:
+        """Wait for changes; `next_revision` is the one to continue after."""
+
+    async def transact(
+        self, compares: Sequence[Compare], on_success: Sequence[Put | Delete]
+    ) -> TransactionResult:
+        """Carry out all writes if every compare holds."""
+
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Create a lease."""
+
+    async def keep_alive(self, lease_id: int) -> None:
+        """Renew a lease."""
+
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
--- a/packages/vanillapitch-platform/src/vanillapitch_platform/__init__.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/__init__.py
@@ -1,6 +1,6 @@
 """Client of the platform's key-value service."""
 
-from vanillapitch_platform.exceptions import (
+from vanillapitch_store.exceptions import (
     StoreCompacted,
     StoreError,
     StoreLeaseNotFound,
@@ -8,8 +8,7 @@
     StoreRejected,
     StoreUnavailable,
 )
-from vanillapitch_platform.gateway import EtcdGatewayStore
-from vanillapitch_platform.model import (
+from vanillapitch_store.model import (
     Compare,
     CompareField,
     Delete,
@@ -32,7 +31,7 @@
     mod_revision_is,
     value_is,
 )
-from vanillapitch_platform.store import KeyValueStore
+from vanillapitch_store.store import KeyValueStore
 
 __all__ = [
     "Compare",
@@ -65,3 +64,12 @@
     "mod_revision_is",
     "value_is",
 ]
+
+
+def __getattr__(name: str):
+    # The gateway client needs urllib3, which takes memory where another client is used.
+    if name == "EtcdGatewayStore":
+        from vanillapitch_store.gateway import EtcdGatewayStore
+
+        return EtcdGatewayStore
+    raise AttributeError(name)
--- a/packages/vanillapitch-platform/src/vanillapitch_platform/_gateway_model.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/_gateway_model.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from vanillapitch_platform.exceptions import StoreError
-from vanillapitch_platform.model import (
+from vanillapitch_store.exceptions import StoreError
+from vanillapitch_store.model import (
     Compare,
     CompareField,
     Delete,
--- a/packages/vanillapitch-platform/src/vanillapitch_platform/gateway.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/gateway.py
@@ -7,8 +7,8 @@
 import urllib3
 from vanillapitch_core.clock import Clock, SystemClock
 
-from vanillapitch_platform import _gateway_model as wire
-from vanillapitch_platform.exceptions import (
+from vanillapitch_store import _gateway_model as wire
+from vanillapitch_store.exceptions import (
     StoreCompacted,
     StoreError,
     StoreLeaseNotFound,
@@ -16,7 +16,7 @@
     StoreRejected,
     StoreUnavailable,
 )
-from vanillapitch_platform.model import (
+from vanillapitch_store.model import (
     Compare,
     GetResult,
     Lease,
@@ -53,7 +53,7 @@
 class EtcdGatewayStore:
     """Client of the platform's key-value service.
 
-    Implements `vanillapitch_platform.store.KeyValueStore`. A call goes to the address
+    Implements `vanillapitch_store.store.KeyValueStore`. A call goes to the address
     that answered last. If it certainly had no effect there, or if it only reads, it
     goes on to the other addresses until `timeout_ms` has passed.
 
--- a/packages/vanillapitch-platform/src/vanillapitch_platform/model.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/model.py
@@ -62,7 +62,8 @@
     mod_revision : int
         Store revision of the last change of the key.
     version : int
-        Number of changes since the key was created.
+        Number of changes since the key was created; 0 where the store does not
+        count them.
     lease_id : int
         Lease that removes the key, or 0.
     """
@@ -71,7 +72,7 @@
     value: bytes
     create_revision: int
     mod_revision: int
-    version: int
+    version: int = 0
     lease_id: int = 0
 
 
--- a/packages/vanillapitch-platform/src/vanillapitch_platform/store.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/store.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from vanillapitch_platform.model import (
+from vanillapitch_store.model import (
     Compare,
     GetResult,
     Lease,
--- a/packages/vanillapitch-platform/tests/test_gateway.py
+++ b/packages/vanillapitch-store/tests/test_gateway.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from vanillapitch_platform import (
+from vanillapitch_store import (
     EtcdGatewayStore,
     Get,
     Put,
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/claims_load.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/claims_load.py
@@ -23,7 +23,7 @@
     build_claims,
 )
 from vanillapitch_daemon.transport import Transport
-from vanillapitch_platform import EtcdGatewayStore
+from vanillapitch_store import EtcdGatewayStore
 
 from vanillapitch_testbed.store import StoreProcess
 
--- /dev/null
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/tests/integration/test_keyed_processes.py
+++ b/tests/integration/test_keyed_processes.py
@@ -16,7 +16,7 @@
 import pytest
 import urllib3
 from vanillapitch_core.tables import Pool, Route, Tables, encode_tables
-from vanillapitch_platform import EtcdGatewayStore, Put
+from vanillapitch_store import EtcdGatewayStore, Put
 from vanillapitch_testbed.store import StoreProcess
 
 pytestmark = pytest.mark.integration
--- a/tests/integration/test_store.py
+++ b/tests/integration/test_store.py
@@ -5,7 +5,7 @@
 import uuid
 
 import pytest
-from vanillapitch_platform import (
+from vanillapitch_store import (
     Delete,
     EtcdGatewayStore,
     EventKind,
