--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -27,14 +27,14 @@
 from vanillapitch_relay.ingress import Ingress
 from vanillapitch_relay.line_log import EventLog, LineWriter
 from vanillapitch_relay.metrics import Metrics
-from vanillapitch_relay.model import Dialect, Settings
+from vanillapitch_relay.model import Dialect, EndpointState, Settings
 from vanillapitch_relay.owner import Owner, OwnerParts
 from vanillapitch_relay.quarantine import Quarantine
 from vanillapitch_relay.retry_budget import SharedRetryBudget
 from vanillapitch_relay.store_port import AsyncKeyValueStore
 from vanillapitch_relay.store_session import StoreSession
 
-__all__ = ["run_daemon"]
+__all__ = ["Daemon", "run_daemon"]
 
 _log = EventLog(part="daemon")
 
@@ -47,6 +47,7 @@
 STOP_MARGIN_MS = 400.0
 DEPARTURE_RETRY_MS = 300.0
 BACKLOG = 1_024
+_USABLE_STATES = (EndpointState.READY, EndpointState.COLD)
 
 
 def run_daemon(
@@ -126,6 +127,7 @@
         self._clock = clock
         self._writer = writer
         self._reload = reload
+        self.started = asyncio.Event()
         self._stop_requested = asyncio.Event()
         self._stopping = False
         self._metrics = Metrics()
@@ -191,9 +193,39 @@
     async def run(self) -> None:
         """Serve until a stop signal, then finish what is under way."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        await self.serve()
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; repeating it changes nothing."""
+        self._stop_requested.set()
+
+    def kill(self) -> None:
+        """End all connections and tasks at once, as the end of the process does."""
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        self._hub.stop()
+        self._owner.parts.pool.close_all()
+        self._callers.abort_all()
+
+    def usable_owners(self) -> list[str]:
+        """List the nodes whose endpoints this daemon may send calls to."""
+        nodes = [
+            node
+            for node, link in self._hub.links_by_node.items()
+            if link.is_up and link.state in _USABLE_STATES
+        ]
+        if EndpointState(self._owner.report().state) in _USABLE_STATES:
+            nodes.append(self.settings.node)
+        return nodes
+
+    async def serve(self) -> None:
+        """Serve until `request_stop`."""
+        loop = asyncio.get_running_loop()
         await self._listen()
         for job in (
             self._session.follow(),
@@ -212,6 +244,7 @@
             service=self.settings.service,
             endpoint=self.settings.endpoint_address,
         )
+        self.started.set()
         await self._stop_requested.wait()
         await self._stop()
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -145,6 +145,11 @@
     stopping: bool = False
     body_budget: BodyBudget = dataclasses.field(default_factory=BodyBudget)
 
+    def abort_all(self) -> None:
+        """Reset all connections."""
+        for connection in list(self.connections):
+            connection.abort()
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class _Exchange:
@@ -227,6 +232,10 @@
         if not self._is_busy and not self._closed:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._transport.abort()
+
     @property
     def _is_busy(self) -> bool:
         """Whether a request is being read or handled."""
--- /dev/null
+++ b/packages/vanillapitch-relay/tests/test_path.py
@@ -0,0 +1,251 @@
+"""The whole path: callers, daemons and endpoints on real sockets."""
+
+import asyncio
+
+import pytest
+
+
+def test_a_request_reaches_its_service_unchanged(run_fleet):
+    # Guards against requests that are altered or run by another service.
+    async def scenario(fleet):
+        answer = await fleet.call("/stock/item?x=1&y=%20", headers={"X-Own": "kept"})
+        (run,) = fleet.runs("/stock/")
+        return answer, run, fleet.vms[2].endpoint
+
+    answer, run, endpoint = run_fleet(scenario)
+    assert answer.status == 200
+    assert answer.complete
+    assert answer.body == f"answer to {answer.request_id}".encode() * 10
+    assert answer.headers["x-vanillapitch-server-seal"] == f"seal.{endpoint.instance}"
+    assert run.target == "/stock/item?x=1&y=%20"
+    assert run.headers["x-own"] == "kept"
+    assert run.headers["x-vanillapitch-caller-service"] == "shop"
+    assert run.headers["x-vanillapitch-expected-instance"] == endpoint.instance
+    assert 0 < int(run.headers["x-vanillapitch-deadline-ms"]) <= 1_000
+
+
+def test_headers_that_the_daemon_sets_cannot_be_forged(run_fleet):
+    # Guards against callers that name another service or instance.
+    async def scenario(fleet):
+        await fleet.call(
+            "/stock/a",
+            headers={
+                "X-Vanillapitch-Caller-Service": "forged",
+                "X-Vanillapitch-Expected-Instance": "i-forged",
+                "Connection": "X-Hop",
+                "X-Hop": "1",
+            },
+        )
+        return fleet.runs("/stock/")[0]
+
+    run = run_fleet(scenario)
+    assert run.headers["x-vanillapitch-caller-service"] == "shop"
+    assert run.headers["x-vanillapitch-expected-instance"] != "i-forged"
+    assert "x-hop" not in run.headers
+
+
+def test_a_body_in_chunks_arrives_whole(run_fleet):
+    # Guards against uploads that are cut or reframed wrongly.
+    body = b"0123456789" * 30_000
+
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        host, _, port = vm.settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /stock-once/up HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Vanillapitch-Attempt-Id: c1\r\nX-Vanillapitch-Deadline-Ms: 3000\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for start in range(0, len(body), 7_001):
+            part = body[start : start + 7_001]
+            writer.write(f"{len(part):x}\r\n".encode() + part + b"\r\n")
+        writer.write(b"0\r\n\r\n")
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        writer.close()
+        return head, fleet.runs("/stock-once/")
+
+    head, runs = run_fleet(scenario)
+    assert head.startswith(b"HTTP/1.1 200")
+    assert [run.body for run in runs] == [body]
+
+
+def test_requests_sent_behind_each_other_are_answered_in_order(run_fleet):
+    # Guards against answers that are given to another request of the connection.
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        host, _, port = vm.settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for number, work_ms in enumerate((120, 10, 60)):
+            writer.write(
+                f"GET /stock/p?work_ms={work_ms} HTTP/1.1\r\nHost: shop.example\r\n"
+                f"X-Vanillapitch-Attempt-Id: p{number}\r\n"
+                "X-Vanillapitch-Deadline-Ms: 2000\r\n\r\n".encode()
+            )
+        started = asyncio.get_running_loop().time()
+        ids = []
+        for _ in range(3):
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+            fields = dict(
+                line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:-2]
+            )
+            ids.append(fields[b"x-vanillapitch-attempt-id"])
+            await reader.readexactly(int(fields[b"content-length"]))
+        took = asyncio.get_running_loop().time() - started
+        writer.close()
+        return ids, took
+
+    ids, took = run_fleet(scenario)
+    assert ids == [b"p0", b"p1", b"p2"]
+    # One after the other they would take 190 ms.
+    assert took < 0.185
+
+
+@pytest.mark.parametrize(
+    ("fault", "status"),
+    [
+        ("truncated", 502),
+        ("reset", 502),
+        ("garbage", 502),
+        ("encoded", 502),
+        ("shed", 503),
+        ("error", 500),
+    ],
+)
+def test_a_spoilt_answer_of_an_unsafe_request_is_not_sent_twice(
+    run_fleet, fault, status
+):
+    # Guards against reservations that run twice, and false promises that none ran.
+    async def scenario(fleet):
+        fleet.vms[2].endpoint.faults.answer = fault
+        return await fleet.call("/stock-once/a", method="POST"), fleet.runs("-once")
+
+    answer, runs = run_fleet(scenario)
+    assert answer.status == status
+    assert len(runs) == (0 if fault == "shed" else 1)
+    if status != 500:
+        assert "x-vanillapitch-server-seal" not in answer.headers
+
+
+@pytest.mark.parametrize("fault", ["truncated", "reset", "garbage", "shed", "error"])
+def test_a_spoilt_answer_of_a_safe_request_is_repeated_elsewhere(run_fleet, fault):
+    # Guards against failures that another endpoint would have spared the caller.
+    async def scenario(fleet):
+        for vm in fleet.vms[:2]:
+            vm.endpoint.faults.answer = fault
+            vm.endpoint.faults.count = 1
+        first = await fleet.call("/shop/a")
+        for vm in fleet.vms[:2]:
+            vm.endpoint.faults.count = 0
+        return first, await fleet.call("/shop/b")
+
+    first, second = run_fleet(scenario)
+    assert first.status in (200, 500, 502, 503)
+    assert second.status == 200
+
+
+@pytest.mark.parametrize("fault", ["extra", "late", "unframed"])
+def test_answers_are_never_mixed_up(run_fleet, fault):
+    # Guards against bytes of one answer that are taken for another.
+    async def scenario(fleet):
+        fleet.vms[2].endpoint.faults.answer = fault
+        fleet.vms[2].endpoint.faults.count = 3
+        return [await fleet.call(f"/stock/{number}") for number in range(6)]
+
+    for answer in run_fleet(scenario):
+        assert answer.status == 200
+        assert answer.complete
+        assert answer.body == f"answer to {answer.request_id}".encode() * 10
+
+
+def test_a_caller_that_leaves_ends_the_work(run_fleet):
+    # Guards against endpoints that work for callers who are gone.
+    async def scenario(fleet):
+        with pytest.raises(TimeoutError):
+            await fleet.call("/stock/a?work_ms=2000", timeout_s=0.2, deadline_ms=3_000)
+        await fleet.wait_until(
+            lambda: [run.ended for run in fleet.runs("/stock/")] == ["cut"],
+            timeout_s=0.5,
+        )
+
+    run_fleet(scenario)
+
+
+def test_the_route_time_out_gives_an_answer(run_fleet):
+    # Guards against callers that are kept waiting for a silent endpoint.
+    async def scenario(fleet):
+        fleet.vms[2].endpoint.faults.answer = "silent"
+        started = asyncio.get_running_loop().time()
+        answer = await fleet.call("/stock-once/a", method="POST", deadline_ms=4_000)
+        return answer, asyncio.get_running_loop().time() - started
+
+    answer, took = run_fleet(scenario, timeout_s=0.4)
+    assert answer.status == 504
+    assert 0.35 < took < 0.65
+
+
+def test_what_has_no_route_is_not_found(run_fleet):
+    # Guards against requests that reach a service no route names.
+    async def scenario(fleet):
+        return [
+            await fleet.call("/nothing/a"),
+            await fleet.call("/stock"),
+            await fleet.call("/stock/a", host="other.example"),
+        ]
+
+    assert [answer.status for answer in run_fleet(scenario)] == [404, 404, 404]
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"GET /stock/a HTTP/1.1\r\n\r\n",
+        b"NONSENSE\r\n\r\n",
+        b"POST /stock/a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /stock/a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n"
+        b"Content-Length: 4\r\n\r\nabcd",
+        b"POST /stock/a HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Transfer-Encoding: gzip\r\n\r\n",
+        b"POST /stock/a HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET http://shop.example/stock/a HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+        b"GET /stock/a HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+        b"GET /stock/a HTTP/1.1\r\nHost: shop.example\r\n"
+        b"X-Vanillapitch-Attempt-Id: a\r\nX-Vanillapitch-Deadline-Ms: soon\r\n\r\n",
+        b"GET /stock/a HTTP/1.1\r\nHost: shop.example\r\nX: "
+        + b"y" * 70_000
+        + b"\r\n\r\n",
+    ],
+)
+def test_bad_requests_are_refused_and_run_nowhere(run_fleet, raw):
+    # Guards against requests that are read differently by daemon and endpoint.
+    async def scenario(fleet):
+        host, _, port = fleet.vms[0].settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(raw)
+        line = await asyncio.wait_for(reader.readline(), 5)
+        writer.close()
+        good = await fleet.call("/stock/good")
+        return line, good, fleet.runs("/stock/a")
+
+    line, good, runs = run_fleet(scenario)
+    assert line.startswith(b"HTTP/1.1 4") or line.startswith(b"HTTP/1.1 501")
+    assert good.status == 200
+    assert runs == []
+
+
+def test_the_metrics_count_answers(run_fleet):
+    # Guards against metrics that say nothing about a run.
+    async def scenario(fleet):
+        await fleet.call("/stock/a")
+        await fleet.call("/none/a")
+        address = fleet.vms[0].settings.metrics_address
+        from vanillapitch_testbed.platform_standins import send_request
+
+        return await send_request(address, "/metrics")
+
+    text = run_fleet(scenario).body.decode()
+    assert 'vanillapitch_answers_total{origin="endpoint"} 1' in text
+    assert 'vanillapitch_refusals_total{reason="no_route"} 1' in text
+    assert "vanillapitch_latency_ms_bucket" in text
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
@@ -0,0 +1,30 @@
+"""Stand-ins of the users' platform: its store, an endpoint and a caller.
+
+They speak the platform's published forms, so that the daemon runs as it does there.
+"""
+
+from vanillapitch_testbed.platform_standins._caller import CallerAnswer, send_request
+from vanillapitch_testbed.platform_standins._endpoint import (
+    EndpointFaults,
+    EndpointStandIn,
+    Run,
+)
+from vanillapitch_testbed.platform_standins._fleet import (
+    ServiceSpec,
+    StandInFleet,
+    make_configuration,
+)
+from vanillapitch_testbed.platform_standins._store import StoreFaults, StoreStandIn
+
+__all__ = [
+    "CallerAnswer",
+    "EndpointFaults",
+    "EndpointStandIn",
+    "Run",
+    "ServiceSpec",
+    "StandInFleet",
+    "StoreFaults",
+    "StoreStandIn",
+    "make_configuration",
+    "send_request",
+]
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -0,0 +1,356 @@
+"""Stand-in of an application endpoint that announces itself, runs requests and fails."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import time
+
+import msgspec
+
+from vanillapitch_testbed.platform_standins._caller import send_request
+from vanillapitch_testbed.platform_standins._http import (
+    RawRequest,
+    encode_answer,
+    serve,
+)
+
+__all__ = ["EndpointFaults", "EndpointStandIn", "Run"]
+
+HEARTBEAT_S = 0.2
+_PREFIX = "X-Vanillapitch-"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EndpointFaults:
+    """Faults in force; the defaults are none.
+
+    Attributes
+    ----------
+    answer : str
+        Form of the next answers: ``whole``, ``truncated``, ``reset``, ``silent``,
+        ``extra`` (a second answer follows), ``late`` (an answer to another request
+        comes first), ``unframed`` (ends with the connection), ``garbage``, ``shed``
+        (not executed), ``error`` (500) or ``encoded``.
+    count : int
+        Answers that the fault spoils; afterwards it is over.
+    unhealthy : bool
+        Whether health checks are answered with 503.
+    crash_on : str
+        Part of a target whose request crashes the endpoint, or empty.
+    """
+
+    answer: str = "whole"
+    count: int = 1_000_000
+    unhealthy: bool = False
+    crash_on: str = ""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Run:
+    """A request that the endpoint began to run.
+
+    Attributes
+    ----------
+    request_id, method, target : str
+        The request.
+    body : bytes
+        Its body.
+    headers : dict of str to str
+        Its headers.
+    began_s : float
+        Monotonic time of the start.
+    ended : str
+        ``""`` while it runs, then ``answered``, ``cut`` or the fault.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    headers: dict[str, str]
+    began_s: float
+    ended: str = ""
+
+
+class EndpointStandIn:
+    """One endpoint.
+
+    Parameters
+    ----------
+    address : str
+        Where it serves.
+    control_address : str
+        Where it announces itself.
+    service, zone : str
+        What it announces.
+    slots : int
+        Requests at once.
+    work_s : float
+        Time of a request.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        control_address: str,
+        service: str,
+        zone: str,
+        slots: int = 8,
+        work_s: float = 0.01,
+    ):
+        self.address = address
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.work_s = work_s
+        self.instance = f"i-{next(self._numbers)}"
+        self.faults = EndpointFaults()
+        self.runs: list[Run] = []
+        self.connections = 0
+        self.cold_until_s = 0.0
+        self.state = "ready"
+        self.born_ms = time.time_ns() // 1_000_000
+        self.most_running = 0
+        self.speed_percent = 100
+        self._control_address = control_address
+        self._sequence = 0
+        self._running = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._task: asyncio.Task | None = None
+
+    async def start(self, *, announce: bool = True) -> None:
+        """Serve and announce."""
+        self._server = await serve(self.address, self._handle, on_open=self._opened)
+        if announce:
+            self._task = asyncio.get_running_loop().create_task(self._announce_often())
+
+    async def stop(self) -> None:
+        """End as a crash does: connections break, nothing is announced."""
+        if self._task is not None:
+            self._task.cancel()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def restart(self, *, cold_s: float = 0.0, new_instance: bool = True) -> None:
+        """Start again after `stop` as another incarnation."""
+        if new_instance:
+            self.instance = f"i-{next(self._numbers)}"
+        self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
+        self._sequence = 0
+        self.state = "ready"
+        self.cold_until_s = time.monotonic() + cold_s
+        await self.start()
+
+    async def announce(self, **changes: object) -> int:
+        """Send one heartbeat; return the status of its answer.
+
+        Parameters
+        ----------
+        **changes : object
+            Fields that replace those of the heartbeat.
+        """
+        self._sequence += 1
+        body = {
+            "address": self.address,
+            "born": self.born_ms,
+            "node_info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self._sequence,
+                "cold_remaining_s": max(0.0, self.cold_until_s - time.monotonic()),
+            },
+            **changes,
+        }
+        return await self._tell("instances.heartbeat", msgspec.json.encode(body))
+
+    async def deregister(self) -> int:
+        """Say that it leaves without having announced it."""
+        self.state = "gone"
+        if self._task is not None:
+            self._task.cancel()
+        return await self._tell("instances.deregister", b"")
+
+    async def drain(self) -> int:
+        """Announce that it leaves; return the status of the answer."""
+        self.state = "draining"
+        return await self.announce()
+
+    async def _tell(self, call: str, body: bytes) -> int:
+        answer = await send_request(
+            self._control_address,
+            f"/api/rpc?call={call}&of={self.instance}",
+            method="POST",
+            body=body,
+            timeout_s=1.0,
+        )
+        return answer.status
+
+    async def _announce_often(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                await self.announce()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _opened(self, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+
+    async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        if request.target == "/health":
+            writer.write(self._health())
+            return True
+        headers = request.headers
+        expected = headers.get("x-vanillapitch-expected-instance", self.instance)
+        request_id = headers.get("x-vanillapitch-attempt-id", "")
+        if expected != self.instance:
+            name = f"{_PREFIX}Instance-Id"
+            writer.write(encode_answer(421, b"", {name: self.instance}))
+            return True
+        fault = self._take_fault()
+        if fault == "shed" or not request_id:
+            name = f"{_PREFIX}Not-Executed"
+            status = 503 if request_id else 400
+            writer.write(encode_answer(status, b"", {name: "1"}))
+            return True
+        run = Run(
+            request_id=request_id,
+            method=request.method,
+            target=request.target,
+            body=request.body,
+            headers=headers,
+            began_s=time.monotonic(),
+        )
+        self.runs.append(run)
+        if self.faults.crash_on and self.faults.crash_on in request.target:
+            run.ended = "crash"
+            await self.stop()
+            return False
+        return await self._work(run, request, writer, fault)
+
+    async def _work(
+        self,
+        run: Run,
+        request: RawRequest,
+        writer: asyncio.StreamWriter,
+        fault: str,
+    ) -> bool:
+        self._running += 1
+        self.most_running = max(self.most_running, self._running)
+        try:
+            await self._sleep(run, request)
+        finally:
+            self._running -= 1
+        if run.ended:
+            return False
+        run.ended = fault
+        if fault == "whole":
+            run.ended = "answered"
+        return await self._answer(run, writer, fault)
+
+    async def _sleep(self, run: Run, request: RawRequest) -> None:
+        """Work until the time is over or the connection closes."""
+        work_s = self.work_s
+        if "work_ms=" in request.target:
+            text = request.target.partition("work_ms=")[2].partition("&")[0]
+            work_s = int(text) / 1_000.0
+        until_s = time.monotonic() + work_s
+        while time.monotonic() < until_s:
+            await asyncio.sleep(min(0.01, max(0.0, until_s - time.monotonic())))
+            if request.is_gone():
+                run.ended = "cut"
+                return
+
+    async def _answer(self, run: Run, writer: asyncio.StreamWriter, fault: str) -> bool:
+        body = f"answer to {run.request_id}".encode() * 10
+        whole = self._encode(run.request_id, 200, body)
+        if fault == "whole":
+            writer.write(whole)
+            return True
+        if fault == "extra":
+            writer.write(whole + self._encode(run.request_id, 200, b"a second answer"))
+            return True
+        if fault == "late":
+            writer.write(self._encode("0123456789abcdef", 200, b"another") + whole)
+            return True
+        if fault == "error":
+            writer.write(self._encode(run.request_id, 500, b"error"))
+            return True
+        if fault == "encoded":
+            head = self._encode(run.request_id, 200, body)
+            writer.write(
+                head.replace(
+                    b"Content-Length", b"Content-Encoding: br\r\nContent-Length"
+                )
+            )
+            return True
+        return await self._break_off(run, writer, fault, whole=whole, body=body)
+
+    async def _break_off(
+        self,
+        run: Run,
+        writer: asyncio.StreamWriter,
+        fault: str,
+        *,
+        whole: bytes,
+        body: bytes,
+    ) -> bool:
+        if fault == "silent":
+            await asyncio.sleep(3600)
+        if fault == "garbage":
+            writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+        if fault == "truncated":
+            writer.write(whole[:-20])
+            await writer.drain()
+        if fault == "unframed":
+            head, _, _ = whole.partition(b"Content-Length")
+            writer.write(head + b"Connection: close\r\n\r\n" + body)
+            await writer.drain()
+        if fault == "reset":
+            writer.transport.abort()
+        return False
+
+    def _encode(self, request_id: str, status: int, body: bytes) -> bytes:
+        return encode_answer(
+            status,
+            body,
+            {
+                f"{_PREFIX}Attempt-Id": request_id,
+                f"{_PREFIX}Server-Seal": f"seal.{self.instance}",
+                f"{_PREFIX}Server-Load": self._load(),
+            },
+        )
+
+    def _health(self) -> bytes:
+        cold_ms = int(1_000 * max(0.0, self.cold_until_s - time.monotonic()))
+        healthy = self.state == "ready" and not self.faults.unhealthy
+        return encode_answer(
+            200 if healthy else 503,
+            b"",
+            {
+                f"{_PREFIX}Instance-Id": self.instance,
+                f"{_PREFIX}Server-Load": self._load(),
+                f"{_PREFIX}Cold-Remaining-Ms": str(cold_ms),
+            },
+        )
+
+    def _load(self) -> str:
+        return f"{self._running},0,{self.slots},{self.speed_percent}"
+
+    def _take_fault(self) -> str:
+        if self.faults.count <= 0:
+            return "whole"
+        if self.faults.answer != "whole":
+            self.faults.count -= 1
+        return self.faults.answer
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -0,0 +1,297 @@
+"""Daemons, endpoints and a store on one event loop, at loopback addresses."""
+
+import asyncio
+import dataclasses
+import itertools
+import logging
+import os
+
+import msgspec
+from vanillapitch_adapter.main import DIALECT
+from vanillapitch_adapter.settings import decode_settings
+from vanillapitch_adapter.store import PlatformStore
+from vanillapitch_core import SystemClock
+from vanillapitch_relay.app import Daemon
+from vanillapitch_relay.line_log import LineWriter
+from vanillapitch_relay.model import Settings
+
+from vanillapitch_testbed.platform_standins._caller import CallerAnswer, send_request
+from vanillapitch_testbed.platform_standins._endpoint import EndpointStandIn
+from vanillapitch_testbed.platform_standins._store import StoreStandIn
+
+__all__ = ["ServiceSpec", "StandInFleet", "Vm", "make_configuration", "make_settings"]
+
+HOST = "shop.example"
+_fleet_numbers = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceSpec:
+    """A service of the fleet.
+
+    Attributes
+    ----------
+    name : str
+        Its name; routes ``/NAME/`` (idempotent) and ``/NAME-once/`` lead to it.
+    zones : tuple of str
+        Availability zone of each endpoint.
+    slots : int
+        Slots of each endpoint.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    slots: int = 8
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Vm:
+    """A VM with its endpoint and its daemon.
+
+    Attributes
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    endpoint : EndpointStandIn
+        The endpoint.
+    daemon : Daemon or None
+        The daemon, unless it is down.
+    task : asyncio.Task or None
+        Its task.
+    """
+
+    settings: Settings
+    endpoint: EndpointStandIn
+    daemon: Daemon | None = None
+    task: asyncio.Task | None = None
+
+
+def make_configuration(
+    services: list[ServiceSpec],
+    *,
+    version: str = "00000001",
+    routes: list[dict] | None = None,
+    limits: dict | None = None,
+    cold_per_s: float = 20.0,
+    timeout_s: float = 2.0,
+) -> bytes:
+    """Build a configuration document in the platform's form.
+
+    Parameters
+    ----------
+    services : list of ServiceSpec
+        Services with their two routes.
+    version : str
+        Version of the document.
+    routes : list of dict or None
+        Further routes, each with ``name`` and its specification.
+    limits : dict or None
+        Limits that replace the defaults.
+    cold_per_s : float
+        Requests per second of a cold endpoint.
+    timeout_s : float
+        Time-out of the routes.
+
+    Returns
+    -------
+    bytes
+        The document.
+    """
+    resources = []
+    for service in services:
+        for suffix, kind in (("", "safe"), ("-once", "unsafe")):
+            route = {
+                "name": f"r-{service.name}{suffix}",
+                "host": HOST,
+                "prefix": f"/{service.name}{suffix}/",
+                "route_kind": kind,
+                "timeout_s": timeout_s,
+                "target_latency_s": 0.3,
+                "priority": 1,
+                "service": service.name,
+                "max_attempts": 2,
+            }
+            resources.append(_route(route))
+        specification = {
+            "health_path": "/health",
+            "max_connections": 100,
+            "protocol": "h1",
+            "tls": False,
+            "cold_start_s": 3.0,
+            "cold_per_s": cold_per_s,
+        }
+        resources.append(
+            {
+                "resource_kind": "services",
+                "metadata": {"name": service.name},
+                "specification": specification,
+            }
+        )
+    resources.extend(_route(route) for route in routes or [])
+    specification = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 4_000_000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+        **(limits or {}),
+    }
+    resources.append(
+        {"resource_kind": "limits", "metadata": {}, "specification": specification}
+    )
+    return msgspec.json.encode({"version": version, "resources": resources})
+
+
+def make_settings(
+    *, node: str, zone: str, service: str, ip: str, store_address: str
+) -> Settings:
+    """Build the settings of a daemon at a loopback address."""
+    document = {
+        "node": node,
+        "zone": zone,
+        "listeners": {
+            "callers": f"{ip}:8304",
+            "readiness": f"{ip}:8302",
+            "announcements": f"{ip}:8306",
+            "peers": f"{ip}:7620",
+            "metrics": f"{ip}:9464",
+        },
+        "endpoint": {"address": f"{ip}:8301", "service": service},
+        "store": {"address": store_address, "lease_ttl_s_min": 1},
+        "bounds": {
+            "grace_s": 6,
+            "retry_ratio": 0.2,
+            "retry_slack": 58,
+            "retry_window_s": 10,
+        },
+    }
+    return decode_settings(msgspec.json.encode(document))
+
+
+class StandInFleet:
+    """A small deployment on one event loop.
+
+    Parameters
+    ----------
+    services : list of ServiceSpec
+        Services with their endpoints.
+    """
+
+    def __init__(self, *, services: list[ServiceSpec]):
+        # Each fleet of a process has addresses of its own.
+        self._net = f"127.{64 + os.getpid() % 128}.{next(_fleet_numbers) % 250}"
+        self.services = services
+        self.store = StoreStandIn(address=f"{self._net}.1:8309")
+        self.vms: list[Vm] = []
+        self._clock = SystemClock()
+        self._writer = LineWriter(clock=self._clock, descriptor=os.dup(2))
+        self._versions = itertools.count(1)
+
+    async def start(self, **options: object) -> None:
+        """Start everything and wait until all daemons know all endpoints.
+
+        Parameters
+        ----------
+        **options : object
+            Options of `make_configuration`.
+        """
+        logging.getLogger().setLevel(logging.INFO)
+        await self.store.start()
+        self.configure(**options)
+        for service in self.services:
+            for zone in service.zones:
+                await self.add_vm(service, zone)
+        await self.wait_until_connected()
+
+    async def stop(self) -> None:
+        """End everything."""
+        for vm in self.vms:
+            await self.kill_daemon(vm)
+            await vm.endpoint.stop()
+        await self.store.stop()
+
+    def configure(self, **options: object) -> int:
+        """Write a new configuration; return its store revision."""
+        version = f"{next(self._versions):08x}"
+        document = make_configuration(self.services, version=version, **options)
+        return self.store.put("op/config", document)
+
+    async def add_vm(self, service: ServiceSpec, zone: str) -> Vm:
+        """Add a VM with an endpoint and a daemon."""
+        ip = f"{self._net}.{len(self.vms) + 10}"
+        settings = make_settings(
+            node=f"vm-{len(self.vms) + 1}",
+            zone=zone,
+            service=service.name,
+            ip=ip,
+            store_address=self.store.address,
+        )
+        endpoint = EndpointStandIn(
+            address=settings.endpoint_address,
+            control_address=settings.announce_address,
+            service=service.name,
+            zone=zone,
+            slots=service.slots,
+        )
+        vm = Vm(settings=settings, endpoint=endpoint)
+        self.vms.append(vm)
+        await self.start_daemon(vm)
+        await endpoint.start()
+        return vm
+
+    async def start_daemon(self, vm: Vm) -> None:
+        """Start the daemon of a VM as a new process would."""
+        vm.daemon = Daemon(
+            settings=vm.settings,
+            dialect=DIALECT,
+            clock=self._clock,
+            store=PlatformStore(address=vm.settings.store_address),
+            writer=self._writer,
+            reload=lambda: vm.settings,
+        )
+        vm.task = asyncio.get_running_loop().create_task(vm.daemon.serve())
+        await vm.daemon.started.wait()
+
+    async def kill_daemon(self, vm: Vm) -> None:
+        """End a daemon as SIGKILL does: nothing is finished or told."""
+        if vm.daemon is not None:
+            vm.daemon.kill()
+            vm.task.cancel()
+            vm.daemon = None
+            await asyncio.sleep(0)
+
+    async def wait_until_connected(self, *, timeout_s: float = 5.0) -> None:
+        """Wait until every daemon may use every endpoint."""
+
+        def is_connected() -> bool:
+            running = [vm for vm in self.vms if vm.daemon is not None]
+            return all(len(vm.daemon.usable_owners()) >= len(running) for vm in running)
+
+        await self.wait_until(is_connected, timeout_s=timeout_s)
+
+    async def wait_until(self, condition, *, timeout_s: float = 5.0) -> None:
+        """Wait for a condition; raises `TimeoutError`."""
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def call(
+        self, target: str, *, vm: int = 0, **options: object
+    ) -> CallerAnswer:
+        """Send a request to the daemon of a VM."""
+        address = self.vms[vm].settings.caller_address
+        return await send_request(address, target, **options)
+
+    def runs(self, target: str = "") -> list:
+        """List the runs of all endpoints whose target contains a text."""
+        return [
+            run for vm in self.vms for run in vm.endpoint.runs if target in run.target
+        ]
+
+
+def _route(route: dict) -> dict:
+    specification = {name: value for name, value in route.items() if name != "name"}
+    return {
+        "resource_kind": "routes",
+        "metadata": {"name": route["name"]},
+        "specification": specification,
+    }
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
@@ -0,0 +1,344 @@
+"""Stand-in of the platform's store: revisions, watches, leases, transactions, faults."""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+import itertools
+import random
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from vanillapitch_testbed.platform_standins._http import (
+    RawRequest,
+    encode_answer,
+    serve,
+)
+
+__all__ = ["Refusal", "StoreFaults", "StoreStandIn"]
+
+PAGE_ITEMS = 500
+MAX_ENTRIES = 32
+TICK_S = 0.02
+
+
+class Refusal(enum.StrEnum):
+    """How the store turns calls away."""
+
+    BUSY = "busy"
+    MANY = "many"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StoreFaults:
+    """Faults in force; the defaults are none.
+
+    Attributes
+    ----------
+    refusal : Refusal or None
+        How calls are turned away.
+    refused_hosts : set of str or None
+        Hosts that are turned away; None means all.
+    delay_s : float
+        Time before each answer.
+    lost_answers : float
+        Share of writes that are carried out without an answer.
+    late_s : float
+        Delay after which a write whose answer is lost is carried out.
+    leases_pause : bool
+        Whether leases stand still while calls are turned away.
+    """
+
+    refusal: Refusal | None = None
+    refused_hosts: set[str] | None = None
+    delay_s: float = 0.0
+    lost_answers: float = 0.0
+    late_s: float = 0.0
+    leases_pause: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Item:
+    value: bytes
+    revision: int
+    created: int
+    lease_id: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Event:
+    key: str
+    revision: int
+    item: _Item | None
+
+
+class StoreStandIn:
+    """The store in this process.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` to serve at.
+    seed : int
+        Seed of the lost answers.
+    """
+
+    def __init__(self, *, address: str, seed: int = 1):
+        self.address = address
+        self.faults = StoreFaults()
+        self.calls_by_path: dict[str, int] = {}
+        self.revision = 1
+        self._items_by_key: dict[str, _Item] = {}
+        self._events: list[_Event] = []
+        self._forgotten_revision = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._lease_ids = itertools.count(100)
+        self._changed = asyncio.Event()
+        self._rng = random.Random(seed)
+        self._server: asyncio.Server | None = None
+        self._task: asyncio.Task | None = None
+        self._late: set[asyncio.Task] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._server = await serve(
+            self.address, self._handle, on_open=self._writers.add
+        )
+        self._task = asyncio.get_running_loop().create_task(self._expire_leases())
+
+    async def stop(self) -> None:
+        """End serving and cut all connections."""
+        self._task.cancel()
+        self._server.close()
+        self.cut_connections()
+
+    def cut_connections(self) -> None:
+        """Reset every open connection."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    def put(self, key: str, value: bytes, *, lease_id: int = 0) -> int:
+        """Write a key as an operator does; return the revision."""
+        self.revision += 1
+        before = self._items_by_key.get(key)
+        created = self.revision if before is None else before.created
+        item = _Item(
+            value=value, revision=self.revision, created=created, lease_id=lease_id
+        )
+        self._items_by_key[key] = item
+        self._note(_Event(key=key, revision=self.revision, item=item))
+        return self.revision
+
+    def delete(self, key: str) -> int:
+        """Remove a key; return the revision."""
+        if self._items_by_key.pop(key, None) is not None:
+            self.revision += 1
+            self._note(_Event(key=key, revision=self.revision, item=None))
+        return self.revision
+
+    def get(self, key: str) -> bytes | None:
+        """Return the value of a key, or None."""
+        item = self._items_by_key.get(key)
+        return None if item is None else item.value
+
+    def keys(self, prefix: str) -> list[str]:
+        """List the keys with a prefix."""
+        return sorted(key for key in self._items_by_key if key.startswith(prefix))
+
+    def forget_history(self) -> None:
+        """Forget all events; watches from before get 410 and are cut."""
+        self._forgotten_revision = self.revision
+        self._events.clear()
+        self._wake()
+
+    def revoke_leases(self) -> None:
+        """Let every lease run out at once."""
+        for lease_id in list(self._leases):
+            self._end_lease(lease_id)
+
+    def _note(self, event: _Event) -> None:
+        self._events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _expire_leases(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TICK_S)
+            paused = self.faults.leases_pause and self.faults.refusal is not None
+            for lease_id, (ends_s, ttl_s) in list(self._leases.items()):
+                if paused:
+                    self._leases[lease_id] = (ends_s + TICK_S, ttl_s)
+                elif ends_s <= loop.time():
+                    self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: int) -> None:
+        self._leases.pop(lease_id, None)
+        for key, item in list(self._items_by_key.items()):
+            if item.lease_id == lease_id:
+                self.delete(key)
+
+    async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        parts = urlsplit(request.target)
+        kind = parts.path.removeprefix("/api/").partition("/")[0]
+        self.calls_by_path[kind] = self.calls_by_path.get(kind, 0) + 1
+        faults = self.faults
+        hosts = faults.refused_hosts
+        if faults.refusal and (hosts is None or request.peer_host in hosts):
+            return await self._turn_away(faults.refusal, writer)
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        writes = kind == "kv-txn"
+        if writes and self._rng.random() < faults.lost_answers:
+            task = asyncio.get_running_loop().create_task(
+                self._apply_late(request, faults.late_s)
+            )
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(3600)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        status, body = await self._answer(parts.path, query, request.body)
+        writer.write(
+            encode_answer(
+                status,
+                msgspec.json.encode(body),
+                {"Content-Type": "application/json"},
+            )
+        )
+        return True
+
+    async def _turn_away(self, refusal: Refusal, writer: asyncio.StreamWriter) -> bool:
+        if refusal is Refusal.SILENT:
+            await asyncio.sleep(3600)
+        if refusal is Refusal.RESET:
+            writer.transport.abort()
+            return False
+        status = 503 if refusal is Refusal.BUSY else 429
+        writer.write(encode_answer(status, b"{}"))
+        return True
+
+    async def _apply_late(self, request: RawRequest, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        self._transact(msgspec.json.decode(request.body))
+
+    async def _answer(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, dict]:
+        if path == "/api/kv-key":
+            return self._read_key(query["key"])
+        if path == "/api/kv-range":
+            return self._read_range(query["prefix"], query.get("after", ""))
+        if path == "/api/kv-watch":
+            return await self._watch(
+                query["prefix"], int(query["after"]), int(query["wait_ms"]) / 1_000
+            )
+        if path == "/api/kv-txn":
+            return self._transact(msgspec.json.decode(body))
+        if path == "/api/kv-lease":
+            return self._grant(msgspec.json.decode(body)["ttl_s_time"])
+        lease_id = int(path.rpartition("/")[2])
+        if path.startswith("/api/kv-keep/"):
+            return self._renew(lease_id)
+        if path.startswith("/api/kv-lease-end/"):
+            self._end_lease(lease_id)
+            return 200, {}
+        return 400, {}
+
+    def _read_key(self, key: str) -> tuple[int, dict]:
+        item = self._items_by_key.get(key)
+        if item is None:
+            return 404, {}
+        return 200, {**_encode(key, item), "store_revision": self.revision}
+
+    def _read_range(self, prefix: str, after: str) -> tuple[int, dict]:
+        keys = [key for key in self.keys(prefix) if key > after]
+        page = keys[:PAGE_ITEMS]
+        return 200, {
+            "items": [_encode(key, self._items_by_key[key]) for key in page],
+            "has_more": len(keys) > len(page),
+            "store_revision": self.revision,
+        }
+
+    async def _watch(self, prefix: str, after: int, wait_s: float) -> tuple[int, dict]:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while True:
+            if after < self._forgotten_revision:
+                return 410, {}
+            events = [
+                _encode_event(event)
+                for event in self._events
+                if event.revision > after and event.key.startswith(prefix)
+            ]
+            left_s = until_s - loop.time()
+            if events or left_s <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _transact(self, body: dict) -> tuple[int, dict]:
+        expected = body["expected_rev"]
+        writes = body["writes"]
+        if len(expected) + len(writes) + len(body["deletes"]) > MAX_ENTRIES:
+            return 400, {}
+        for row in expected:
+            item = self._items_by_key.get(row["key"])
+            if row["revision"] != (0 if item is None else item.revision):
+                current = [
+                    _encode(entry["key"], self._items_by_key[entry["key"]])
+                    for entry in expected
+                    if entry["key"] in self._items_by_key
+                ]
+                return 412, {"items": current}
+        for write in writes:
+            if write["lease_id"] and write["lease_id"] not in self._leases:
+                return 404, {}
+            if write["key"].startswith(("op/", "servers/")):
+                return 403, {}
+        for write in writes:
+            value = base64.b64decode(write["value"])
+            self.put(write["key"], value, lease_id=write["lease_id"])
+        for key in body["deletes"]:
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    def _grant(self, ttl_s: float) -> tuple[int, dict]:
+        lease_id = next(self._lease_ids)
+        now_s = asyncio.get_running_loop().time()
+        self._leases[lease_id] = (now_s + ttl_s, ttl_s)
+        return 200, {"lease_id": lease_id, "ttl_s_time": ttl_s}
+
+    def _renew(self, lease_id: int) -> tuple[int, dict]:
+        if lease_id not in self._leases:
+            return 404, {}
+        ttl_s = self._leases[lease_id][1]
+        now_s = asyncio.get_running_loop().time()
+        self._leases[lease_id] = (now_s + ttl_s, ttl_s)
+        return 200, {"ttl_s_time": ttl_s}
+
+
+def _encode(key: str, item: _Item) -> dict:
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created_rev": item.created,
+        "lease_id": item.lease_id,
+    }
+
+
+def _encode_event(event: _Event) -> dict:
+    if event.item is None:
+        return {"key": event.key, "revision": event.revision, "tombstone": True}
+    return _encode(event.key, event.item)
