Blame a crash on its request when the connection ends without an answer

Cause: the end of a connection without a byte of an answer was reported as an answer that cannot be read, so no strike was given, and a probe on a kept connection that the crash had closed told nothing. A state change now reaches all ingresses, not only those with recent calls, and refusal codes are a fixed set, since they label metrics. Ruled out: strikes lost between daemons (none were sent).

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -147,7 +147,8 @@
         self._quarantine = Quarantine(clock=clock, share=self._hub.publish_strike)
         self._owner = Owner(
             parts=self._make_owner_parts(),
-            publish=self._hub.publish_report,
+            publish_load=self._hub.publish_load,
+            publish_state=self._hub.publish_state,
             examine=self._examine,
         )
         self._hub.owner = self._owner
@@ -219,10 +220,15 @@
             for node, link in self._hub.links_by_node.items()
             if link.is_up and link.state in _USABLE_STATES
         ]
-        if EndpointState(self._owner.report().state) in _USABLE_STATES:
+        if self.endpoint_state in _USABLE_STATES:
             nodes.append(self.settings.node)
         return nodes
 
+    @property
+    def endpoint_state(self) -> EndpointState:
+        """State of the endpoint on this VM as ingresses are told."""
+        return EndpointState(self._owner.report().state)
+
     async def serve(self) -> None:
         """Serve until `request_stop`."""
         loop = asyncio.get_running_loop()
@@ -382,7 +388,7 @@
         self._owner.stopping = True
         self._callers.stopping = True
         _log.info("stopping", in_flight=self._ingress.in_flight)
-        self._hub.publish_stop(self._owner.report())
+        self._hub.publish_state(self._owner.report())
         loop = asyncio.get_running_loop()
         leaving = loop.create_task(self._session.unregister())
         last_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -8,7 +8,11 @@
     apply_health,
     apply_unreachable,
 )
-from vanillapitch_relay.exceptions import ConnectFailed, RelayError
+from vanillapitch_relay.exceptions import (
+    ConnectFailed,
+    ConnectionBroken,
+    RelayError,
+)
 from vanillapitch_relay.http_client import (
     HttpAnswer,
     HttpConnection,
@@ -87,7 +91,7 @@
             return
         self._owner.admission.max_connections = limits.max_connections
         self._owner.admission.cold_per_s = limits.cold_per_s
-        before = (belief.instance, belief.reachable)
+        was_sound = belief.reachable and belief.verified
         try:
             answer = await self._probe(limits.health_path)
         except ConnectFailed as error:
@@ -104,19 +108,24 @@
         else:
             self._silent = 0
             self._note_answer(belief, answer)
-        if before[1] and not belief.reachable:
+        if was_sound and not (belief.reachable and belief.verified):
             self._blame()
         self._owner.refresh()
 
     async def _probe(self, path: str) -> HttpAnswer:
-        parts = self._owner.parts
-        if self._connection is None or not self._connection.is_usable:
+        address = self._owner.parts.pool.address
+        headers = [(b"host", address.encode())]
+        request = HttpRequest(method="GET", target=path, headers=headers)
+        async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000.0):
+            if self._connection is not None and self._connection.is_usable:
+                try:
+                    return await self._connection.exchange(request)
+                except ConnectionBroken:
+                    # Closed while idle, or the endpoint ended; a new one tells which.
+                    self._close()
             self._connection = await open_connection(
-                parts.pool.address, timeout_ms=PROBE_TIMEOUT_MS
+                address, timeout_ms=PROBE_TIMEOUT_MS
             )
-        host = parts.pool.address.encode()
-        request = HttpRequest(method="GET", target=path, headers=[(b"host", host)])
-        async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000.0):
             return await self._connection.exchange(request)
 
     def _note_answer(self, belief: EndpointBelief, answer: HttpAnswer) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
@@ -207,7 +207,9 @@
         """Treat the end of the stream as the end of an answer without a length."""
         if self._waiter is not None and not self._waiter.done():
             self._usable = False
-            self._feed(b"")
+            if self._response is not None:
+                self._feed(b"")
+        # Without the head of an answer, `connection_lost` fails the exchange.
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -111,15 +111,15 @@
                 del self.links_by_node[node]
         self.on_members(1 + len(self.links_by_node))
 
-    def publish_report(self, report: EndpointReport) -> None:
+    def publish_load(self, report: EndpointReport) -> None:
         """Push a report to the ingresses that use this owner."""
         now_ms = self._clock.now_ms()
         for incoming in self._incoming.values():
             if now_ms - incoming.connection.last_call_ms <= PUSH_WITHIN_MS:
                 incoming.connection.send(report)
 
-    def publish_stop(self, report: EndpointReport) -> None:
-        """Tell all ingresses that this daemon stops."""
+    def publish_state(self, report: EndpointReport) -> None:
+        """Push a report with another state to all ingresses."""
         for incoming in self._incoming.values():
             incoming.connection.send(report)
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -256,7 +256,7 @@
             ending = Ending(reply.ending)
             if ending is Ending.REFUSED:
                 progress.refusals += 1
-                self._metrics.count_retry(f"refused_{reply.reason}"[:40])
+                self._metrics.count_retry(f"refused_{reply.reason}")
                 if progress.refusals >= MAX_OWNERS_ASKED:
                     return self._end_without(progress, reply.reason), reply.reason
                 continue
@@ -299,11 +299,11 @@
             if node == self._settings.node:
                 return await self._owner.run(call, source=node)
             return await self._hub.links_by_node[node].call(call)
-        except LinkBroken as error:
+        except LinkBroken:
             return Reply(
                 id=call.id,
                 ending=Ending.FAILED.value,
-                reason=f"link: {error}",
+                reason="link_broken",
                 status=0,
                 phrase="",
                 headers=[],
@@ -434,7 +434,7 @@
 
     def _own_answer(self, status: int, reason: str, headers: list) -> HttpAnswer:
         self._metrics.count_answer("daemon")
-        self._metrics.count_refusal(reason[:40])
+        self._metrics.count_refusal(reason)
         body = msgspec.json.encode({"code": reason})
         return make_answer(status, body, headers=headers)
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -14,8 +14,10 @@
 from vanillapitch_relay.endpoint_state import EndpointBelief, classify
 from vanillapitch_relay.exceptions import (
     AnswerInvalid,
+    AnswerTimedOut,
     ConnectFailed,
     ConnectionBroken,
+    RelayError,
 )
 from vanillapitch_relay.failure_share import FailureShare
 from vanillapitch_relay.http_client import (
@@ -97,8 +99,8 @@
     ----------
     parts : OwnerParts
         What it works with.
-    publish : callable
-        Sends a report to the ingresses.
+    publish_load, publish_state : callable
+        Send a report to the ingresses that use this owner, or to all.
     examine : callable
         Asks for a health check at once.
     """
@@ -107,7 +109,8 @@
         self,
         *,
         parts: OwnerParts,
-        publish: Callable[[EndpointReport], None],
+        publish_load: Callable[[EndpointReport], None],
+        publish_state: Callable[[EndpointReport], None],
         examine: Callable[[], None],
     ):
         self.parts = parts
@@ -116,7 +119,8 @@
         self.last_answer_ms = 0.0
         self.stopping = False
         self.broken_fingerprints: dict[str, float] = {}
-        self._publish = publish
+        self._publish_load = publish_load
+        self._publish_state = publish_state
         self._examine = examine
         self._failures = FailureShare()
         self._ticket_ids = itertools.count(1)
@@ -165,7 +169,7 @@
             self._state = state
             if state is EndpointState.DOWN:
                 self.parts.pool.close_all()
-            self._publish_report(now_ms=now_ms)
+            self._publish_state(self._make_report(now_ms=now_ms))
         self._pump()
 
     @property
@@ -289,8 +293,8 @@
         try:
             connection = await pool.acquire(idempotent=call.idempotent)
         except ConnectFailed as error:
-            self._examine()
-            return self._reply(call, Ending.REFUSED, f"connect: {error}")
+            self._note_failure(call, error)
+            return self._reply(call, Ending.REFUSED, error.code)
         remaining_ms = call.remaining_ms - (self._now_ms() - arrived_ms)
         if remaining_ms < MIN_REMAINING_MS or self.admission.blocked is not None:
             pool.release(connection)
@@ -309,18 +313,27 @@
             async with asyncio.timeout(remaining_ms / 1_000.0):
                 answer = await connection.exchange(request)
         except TimeoutError:
-            self._record(failed=True)
-            self._examine()
-            return self._reply(call, Ending.FAILED, "deadline")
-        except ConnectionBroken as error:
-            self._record(failed=True)
+            error = AnswerTimedOut("no answer by the deadline")
+        except ConnectionBroken as broken:
             self.broken_fingerprints[call.fingerprint] = self._now_ms()
-            self._examine()
-            return self._reply(call, Ending.FAILED, str(error))
-        except AnswerInvalid as error:
-            self._record(failed=True)
-            return self._reply(call, Ending.FAILED, str(error))
-        return self._classify_answer(call, answer)
+            error = broken
+        except AnswerInvalid as invalid:
+            error = invalid
+        else:
+            return self._classify_answer(call, answer)
+        self._note_failure(call, error)
+        return self._reply(call, Ending.FAILED, error.code)
+
+    def _note_failure(self, call: Call, error: RelayError) -> None:
+        _log.info(
+            "call_failed",
+            request_id=call.request_id,
+            error=error.code,
+            reason=str(error),
+            instance=self.parts.belief.instance,
+        )
+        self._record(failed=True)
+        self._examine()
 
     def _build_request(self, call: Call, *, remaining_ms: float) -> HttpRequest:
         names = self.parts.dialect.headers
@@ -346,15 +359,15 @@
             self._record(failed=True)
             if answer.status == 421:
                 self._examine()
-            return self._reply(call, Ending.REJECTED, f"status {answer.status}")
+            return self._reply(call, Ending.REJECTED, "not_executed")
         encoding = find_header(answer.headers, b"content-encoding")
         if encoding not in (None, b"identity"):
             self._record(failed=True)
-            return self._reply(call, Ending.FAILED, "the answer is encoded")
+            return self._reply(call, Ending.FAILED, "answer_encoded")
         is_success = 200 <= answer.status < 300
         if is_success and find_header(answer.headers, names.signature) is None:
             self._record(failed=True)
-            return self._reply(call, Ending.FAILED, "a success without a signature")
+            return self._reply(call, Ending.FAILED, "answer_unsigned")
         self._record(failed=answer.status >= 500)
         self.parts.quarantine.clear(call.fingerprint)
         reply = self._reply(call, Ending.ANSWERED, "")
@@ -423,12 +436,12 @@
         slower = self.speed_percent > REPORT_SPEED_RATIO * before.speed_percent
         faster = before.speed_percent > REPORT_SPEED_RATIO * self.speed_percent
         if moved >= step or slower or faster:
-            self._publish_report(now_ms=now_ms)
+            self._publish_load(self._make_report(now_ms=now_ms))
 
-    def _publish_report(self, *, now_ms: float) -> None:
+    def _make_report(self, *, now_ms: float) -> EndpointReport:
         self._reported = self.report()
         self._reported_at_ms = now_ms
-        self._publish(self._reported)
+        return self._reported
 
     def _now_ms(self) -> float:
         return self.parts.clock.now_ms()
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -22,6 +22,8 @@
 __all__ = ["ServiceSpec", "StandInFleet", "Vm", "make_configuration", "make_settings"]
 
 HOST = "shop.example"
+STORE_PORT = 8309
+MAX_VMS = 20
 _fleet_numbers = itertools.count(1)
 
 
@@ -180,7 +182,10 @@
         # Each fleet of a process has addresses of its own.
         self._net = f"127.{64 + os.getpid() % 128}.{next(_fleet_numbers) % 250}"
         self.services = services
-        self.store = StoreStandIn(address=f"{self._net}.1:8309")
+        self.store = StoreStandIn(
+            address=f"{self._net}.1:{STORE_PORT}",
+            more_hosts=tuple(f"{self._net}.{100 + n}" for n in range(MAX_VMS)),
+        )
         self.vms: list[Vm] = []
         self._clock = SystemClock()
         self._writer = LineWriter(clock=self._clock, descriptor=os.dup(2))
@@ -223,7 +228,7 @@
             zone=zone,
             service=service.name,
             ip=ip,
-            store_address=self.store.address,
+            store_address=f"{self.store_host(len(self.vms))}:{STORE_PORT}",
         )
         endpoint = EndpointStandIn(
             address=settings.endpoint_address,
@@ -238,6 +243,10 @@
         await endpoint.start()
         return vm
 
+    def store_host(self, vm: int) -> str:
+        """Return the host at which a VM reaches the store."""
+        return f"{self._net}.{100 + vm}"
+
     async def start_daemon(self, vm: Vm) -> None:
         """Start the daemon of a VM as a new process would."""
         vm.daemon = Daemon(
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_http.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_http.py
@@ -22,8 +22,8 @@
         Headers by name in lower case.
     body : bytes
         The body.
-    peer_host : str
-        Host that sent it.
+    local_host : str
+        Host that it was sent to.
     is_gone : callable
         Whether the sender has closed the connection.
     """
@@ -32,7 +32,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
-    peer_host: str
+    local_host: str
     is_gone: Callable[[], bool]
 
 
@@ -53,6 +53,7 @@
     address: str,
     handle: Handler,
     *,
+    more_hosts: tuple[str, ...] = (),
     on_open: Callable[[asyncio.StreamWriter], None] = lambda writer: None,
 ) -> asyncio.Server:
     """Serve requests one after the other on each connection.
@@ -63,6 +64,8 @@
         ``host:port``.
     handle : Handler
         Writes the answer; returns whether the connection stays open.
+    more_hosts : tuple of str
+        Further hosts to serve at, with the same port.
     on_open : callable
         Called with each new connection.
 
@@ -85,7 +88,9 @@
         writer.close()
 
     host, _, port = address.rpartition(":")
-    return await asyncio.start_server(run, host, int(port), limit=MAX_HEAD_BYTES)
+    return await asyncio.start_server(
+        run, [host, *more_hosts], int(port), limit=MAX_HEAD_BYTES
+    )
 
 
 async def _read_request(
@@ -104,6 +109,6 @@
         target=target,
         headers=headers,
         body=body,
-        peer_host=writer.get_extra_info("peername")[0],
+        local_host=writer.get_extra_info("sockname")[0],
         is_gone=lambda: reader.at_eof() or writer.transport.is_closing(),
     )
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
@@ -41,7 +41,7 @@
     refusal : Refusal or None
         How calls are turned away.
     refused_hosts : set of str or None
-        Hosts that are turned away; None means all.
+        Hosts of the store whose callers are turned away; None means all.
     delay_s : float
         Time before each answer.
     lost_answers : float
@@ -82,12 +82,17 @@
     ----------
     address : str
         ``host:port`` to serve at.
+    more_hosts : tuple of str
+        Further hosts to serve at, so that faults can be told apart by them.
     seed : int
         Seed of the lost answers.
     """
 
-    def __init__(self, *, address: str, seed: int = 1):
+    def __init__(
+        self, *, address: str, more_hosts: tuple[str, ...] = (), seed: int = 1
+    ):
         self.address = address
+        self._more_hosts = more_hosts
         self.faults = StoreFaults()
         self.calls_by_path: dict[str, int] = {}
         self.revision = 1
@@ -106,7 +111,10 @@
     async def start(self) -> None:
         """Begin to serve."""
         self._server = await serve(
-            self.address, self._handle, on_open=self._writers.add
+            self.address,
+            self._handle,
+            more_hosts=self._more_hosts,
+            on_open=self._writers.add,
         )
         self._task = asyncio.get_running_loop().create_task(self._expire_leases())
 
@@ -192,7 +200,7 @@
         self.calls_by_path[kind] = self.calls_by_path.get(kind, 0) + 1
         faults = self.faults
         hosts = faults.refused_hosts
-        if faults.refusal and (hosts is None or request.peer_host in hosts):
+        if faults.refusal and (hosts is None or request.local_host in hosts):
             return await self._turn_away(faults.refusal, writer)
         if faults.delay_s:
             await asyncio.sleep(faults.delay_s)
