--- a/conftest.py
+++ b/conftest.py
@@ -1,11 +1,16 @@
 """Fixtures that tests of several packages share."""
 
+import platform
 import socket
 
 import pytest
 from vanillapitch_store import EtcdGatewayStore
 from vanillapitch_testbed.store import StoreProcess
 
+# For the tests below the folder of that name, pytest would put a package in the place of
+# the standard library's module, unless that looks like a package.
+platform.__path__ = []
+
 
 @pytest.fixture(scope="session")
 def shared_store_process():
