--- a/conftest.py
+++ b/conftest.py
@@ -7,8 +7,8 @@
 from vanillapitch_store import EtcdGatewayStore
 from vanillapitch_testbed.store import StoreProcess
 
-# For the tests below the folder of that name, pytest would put a package in the place of
-# the standard library's module, unless that looks like a package.
+# For the tests below the folder of that name, pytest would put a package in the place
+# of the standard library's module, unless that looks like a package.
 platform.__path__ = []
 
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -98,6 +98,8 @@
         Moving average of the endpoint's execution time.
     sent_at_ms : deque of float
         Times of the sends of the last second.
+    failing : bool
+        Whether it fails its requests, so that only one is tried at a time.
     """
 
     slots: int = 1
@@ -111,10 +113,13 @@
     sent_at_ms: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    failing: bool = False
 
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
+        if self.failing:
+            return 1
         limit = int(min(self.slots * LIMIT_SHARE, self.max_connections - 1))
         return max(1, limit)
 
@@ -218,7 +223,7 @@
     state.running.add(ticket.id)
     _forget_old_sends(state, now_ms=now_ms)
     state.sent_at_ms.append(now_ms)
-    check_invariant(len(state.running) <= state.limit, "the limit is kept")
+    check_invariant(len(state.running) <= state.slots, "the slots are kept")
 
 
 def end(state: AdmissionState, ticket: CallTicket, *, latency_ms: float | None) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -30,6 +30,7 @@
 from vanillapitch_relay.model import Dialect, EndpointState, Settings
 from vanillapitch_relay.owner import Owner, OwnerParts
 from vanillapitch_relay.quarantine import Quarantine
+from vanillapitch_relay.ranking import USABLE_STATES
 from vanillapitch_relay.retry_budget import SharedRetryBudget
 from vanillapitch_relay.store_port import AsyncKeyValueStore
 from vanillapitch_relay.store_session import StoreSession
@@ -40,14 +41,17 @@
 
 # Log lines are written, links checked and the end of a cold start noticed this often.
 UPKEEP_INTERVAL_MS = 100.0
+# The endpoint beside a daemon that stops serves on, so its owner takes calls until
+# shortly before the daemon ends.
+OWNER_STOP_MS = 2_000.0
 # Readiness checks come once a second and two misses take a VM out, so callers may open
 # connections until then.
-MIN_STOP_MS = 2_600.0
+CALLERS_STOP_MS = 2_600.0
+STOP_CHECK_MS = 20.0
 # Answers are written and the process ends within this time before the kill.
 STOP_MARGIN_MS = 400.0
 DEPARTURE_RETRY_MS = 300.0
 BACKLOG = 1_024
-_USABLE_STATES = (EndpointState.READY, EndpointState.COLD)
 
 
 def run_daemon(
@@ -218,9 +222,9 @@
         nodes = [
             node
             for node, link in self._hub.links_by_node.items()
-            if link.is_up and link.state in _USABLE_STATES
+            if link.is_up and link.state in USABLE_STATES
         ]
-        if self.endpoint_state in _USABLE_STATES:
+        if self.endpoint_state in USABLE_STATES:
             nodes.append(self.settings.node)
         return nodes
 
@@ -361,6 +365,9 @@
             self._hub.check_links()
             self._writer.flush()
 
+    def _is_busy(self) -> bool:
+        return bool(self._ingress.in_flight) or self._owner.is_busy
+
     def _on_task_end(self, task: asyncio.Task) -> None:
         if task.cancelled() or task.exception() is None:
             return
@@ -383,25 +390,21 @@
 
     async def _stop(self) -> None:
         """Finish requests; callers may send more until the VM is taken out."""
-        started_ms = self._clock.now_ms()
+        last_ms = self._clock.now_ms() + self.settings.bounds.grace_ms - STOP_MARGIN_MS
         self._stopping = True
-        self._owner.stopping = True
         self._callers.stopping = True
         _log.info("stopping", in_flight=self._ingress.in_flight)
+        leaving = asyncio.get_running_loop().create_task(self._session.unregister())
+        await asyncio.sleep(OWNER_STOP_MS / 1_000.0)
+        self._owner.stopping = True
         self._hub.publish_state(self._owner.report())
-        loop = asyncio.get_running_loop()
-        leaving = loop.create_task(self._session.unregister())
-        last_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
-        while True:
-            age_ms = self._clock.now_ms() - started_ms
-            busy = self._ingress.in_flight or self._owner.is_busy
-            if age_ms >= last_ms or (age_ms >= MIN_STOP_MS and not busy):
-                break
-            await asyncio.sleep(0.02)
+        await asyncio.sleep((CALLERS_STOP_MS - OWNER_STOP_MS) / 1_000.0)
         for server in self._servers:
             server.close()
-        for connection in list(self._callers.connections):
-            connection.close_if_idle()
+        while self._clock.now_ms() < last_ms and self._is_busy():
+            self._callers.close_idle()
+            await asyncio.sleep(STOP_CHECK_MS / 1_000.0)
+        self._callers.close_idle()
         _log.info("stopped", in_flight=self._ingress.in_flight)
         self._hub.stop()
         for task in (*self._tasks, leaving):
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -12,6 +12,7 @@
     "apply_departure_mark",
     "apply_health",
     "apply_unreachable",
+    "apply_zone_return",
     "classify",
 ]
 
@@ -187,6 +188,11 @@
     belief.verified = False
 
 
+def apply_zone_return(belief: EndpointBelief) -> None:
+    """Ask for a health check, because the endpoint may have turned cold meanwhile."""
+    belief.verified = False
+
+
 def classify(
     belief: EndpointBelief, *, zone_in_service: bool, now_ms: float
 ) -> EndpointState:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -145,6 +145,11 @@
     stopping: bool = False
     body_budget: BodyBudget = dataclasses.field(default_factory=BodyBudget)
 
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is read or handled."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
     def abort_all(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
@@ -366,7 +371,9 @@
             if self._closed:
                 return
             exchange = self._exchanges.popleft()
-            close = exchange.close_after or self._state.stopping
+            # Requests behind this one may be at an endpoint already.
+            stops = self._state.stopping and not self._exchanges
+            close = exchange.close_after or stops
             self._write_answer(exchange, close=close)
             self._since_ms = self._state.clock.now_ms()
             if close:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -289,7 +289,13 @@
             if candidate.node not in progress.asked
             and candidate.zone not in self._configuration.zones_out
         ]
-        order = order_candidates(usable, zone=own_zone, now_ms=now_ms, rng=self._rng)
+        order = order_candidates(
+            usable,
+            zone=own_zone,
+            now_ms=now_ms,
+            rng=self._rng,
+            may_try_failing=progress.route.idempotent and not progress.asked,
+        )
         return order[0] if order else None
 
     async def _call(self, progress: _Progress, node: str) -> Reply:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -329,6 +329,7 @@
 
     READY = "ready"
     COLD = "cold"
+    FAILING = "failing"
     LEAVING = "leaving"
     DOWN = "down"
     ZONE_OUT = "zone_out"
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -10,8 +10,13 @@
 
 from vanillapitch_relay import admission
 from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
+from vanillapitch_relay.breaker import Breaker
 from vanillapitch_relay.endpoint_pool import EndpointPool
-from vanillapitch_relay.endpoint_state import EndpointBelief, classify
+from vanillapitch_relay.endpoint_state import (
+    EndpointBelief,
+    apply_zone_return,
+    classify,
+)
 from vanillapitch_relay.exceptions import (
     AnswerInvalid,
     AnswerTimedOut,
@@ -49,6 +54,7 @@
     EndpointState.DOWN: RefusalReason.DOWN,
     EndpointState.READY: None,
     EndpointState.COLD: None,
+    EndpointState.FAILING: None,
 }
 
 
@@ -123,6 +129,7 @@
         self._publish_state = publish_state
         self._examine = examine
         self._failures = FailureShare()
+        self._breaker = Breaker()
         self._ticket_ids = itertools.count(1)
         self._waiting_by_id: dict[int, _Waiting] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -149,9 +156,12 @@
         """Apply the belief, the zone and the configuration to admission."""
         belief = self.parts.belief
         now_ms = self._now_ms()
-        state = classify(
-            belief, zone_in_service=self.parts.zone_in_service(), now_ms=now_ms
-        )
+        zone_in_service = self.parts.zone_in_service()
+        if zone_in_service and self._state is EndpointState.ZONE_OUT:
+            apply_zone_return(belief)
+            self._examine()
+        state = classify(belief, zone_in_service=zone_in_service, now_ms=now_ms)
+        state = self._consider_failures(state, now_ms=now_ms)
         self.admission.blocked = _BLOCKED_BY_STATE[state]
         self.admission.slots = max(1, belief.slots)
         self.admission.cold_until_ms = belief.cold_until_ms
@@ -172,6 +182,16 @@
             self._publish_state(self._make_report(now_ms=now_ms))
         self._pump()
 
+    def _consider_failures(
+        self, state: EndpointState, *, now_ms: float
+    ) -> EndpointState:
+        if state is EndpointState.DOWN:
+            self._breaker.reset()
+        self.admission.failing = state is EndpointState.READY and self._breaker.is_open(
+            usual_ms=self.admission.latency_ms, now_ms=now_ms
+        )
+        return EndpointState.FAILING if self.admission.failing else state
+
     @property
     def is_busy(self) -> bool:
         """Whether a call runs or waits."""
@@ -203,11 +223,16 @@
             return self._refuse(call, reason, source=source, arrived_ms=arrived_ms)
         sent_ms = self._now_ms()
         latency_ms = None
+        succeeded = None
+        self._breaker.start(ticket.id, now_ms=sent_ms)
         try:
             reply = await self._send(call, arrived_ms=arrived_ms)
             if reply.ending == Ending.ANSWERED:
                 latency_ms = self._now_ms() - sent_ms
+            if reply.ending != Ending.REFUSED:
+                succeeded = 0 < reply.status < 500
         finally:
+            self._breaker.end(ticket.id, succeeded=succeeded, now_ms=self._now_ms())
             admission.end(self.admission, ticket, latency_ms=latency_ms)
             self._pump()
             self._publish_if_changed()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
@@ -6,8 +6,9 @@
 
 from vanillapitch_relay.model import EndpointState
 
-__all__ = ["Candidate", "order_candidates"]
+__all__ = ["USABLE_STATES", "Candidate", "order_candidates"]
 
+USABLE_STATES = (EndpointState.READY, EndpointState.COLD, EndpointState.FAILING)
 # Moving between availability zones costs about 1 ms and is paid per byte; a busier
 # endpoint nearby is preferred up to this difference in cost.
 OTHER_ZONE_COST = 0.25
@@ -17,6 +18,10 @@
 # An endpoint that fails half of its requests costs three times as much.
 FAILURE_WEIGHT = 4.0
 COLD_COST = 1.0
+# Chosen only where no other endpoint is left. Health checks may be false, so requests
+# that may be repeated try it again, one in `TRIAL_SHARE`.
+FAILING_COST = 100.0
+TRIAL_SHARE = 0.05
 FULL_COST = 4.0
 # Ties are broken at random, so that ingresses with the same reports spread.
 JITTER = 0.05
@@ -66,6 +71,7 @@
     zone: str,
     now_ms: float,
     rng: random.Random,
+    may_try_failing: bool = False,
 ) -> list[str]:
     """Order the usable endpoints, the best first.
 
@@ -79,6 +85,8 @@
         Current time in milliseconds.
     rng : random.Random
         Source of randomness.
+    may_try_failing : bool
+        Whether the request may try an endpoint that failed the last ones.
 
     Returns
     -------
@@ -87,9 +95,13 @@
     """
     costs = []
     for candidate in candidates:
-        if candidate.state not in (EndpointState.READY, EndpointState.COLD):
+        if candidate.state not in USABLE_STATES:
             continue
         cost = _cost(candidate, zone=zone, now_ms=now_ms)
+        if candidate.state is EndpointState.FAILING and may_try_failing:
+            is_idle = candidate.in_flight + candidate.sent_since_report == 0
+            if is_idle and rng.random() < TRIAL_SHARE:
+                cost = 0.0
         costs.append((cost * (1.0 + JITTER * rng.random()), candidate.node))
     return [node for _, node in sorted(costs)]
 
@@ -109,4 +121,6 @@
         cost += OTHER_ZONE_COST
     if candidate.state is EndpointState.COLD:
         cost += COLD_COST
+    elif candidate.state is EndpointState.FAILING:
+        cost += FAILING_COST
     return cost
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -7,6 +7,7 @@
 import pytest
 from vanillapitch_relay import admission
 from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
+from vanillapitch_relay.breaker import Breaker
 from vanillapitch_relay.failure_share import FailureShare
 from vanillapitch_relay.model import (
     ClientLimits,
@@ -250,3 +251,55 @@
         share.record(failed=True, now_ms=0.0)
     assert share.share(now_ms=0.0) > 0.9
     assert share.share(now_ms=5_000.0) < 0.05
+
+
+def test_a_breaker_opens_after_failures_in_a_row_and_closes_with_a_success():
+    # Guards against an endpoint that fails everything while its health check is good.
+    breaker = Breaker()
+    for number in range(5):
+        assert not breaker.is_open(usual_ms=50.0, now_ms=100.0)
+        breaker.start(number, now_ms=100.0)
+        breaker.end(number, succeeded=False, now_ms=100.0)
+    assert breaker.is_open(usual_ms=50.0, now_ms=100.0)
+    breaker.end(9, succeeded=None, now_ms=100.0)
+    assert breaker.is_open(usual_ms=50.0, now_ms=100.0)
+    breaker.end(10, succeeded=True, now_ms=100.0)
+    assert not breaker.is_open(usual_ms=50.0, now_ms=100.0)
+
+
+def test_a_breaker_opens_when_all_requests_hang():
+    # Guards against an endpoint that takes requests and never answers.
+    breaker = Breaker(answered_ms=1_000.0)
+    for number in range(4):
+        breaker.start(number, now_ms=1_000.0)
+    assert not breaker.is_open(usual_ms=50.0, now_ms=1_499.0)
+    assert breaker.is_open(usual_ms=50.0, now_ms=1_501.0)
+    assert not breaker.is_open(usual_ms=200.0, now_ms=1_501.0)
+    breaker.end(0, succeeded=True, now_ms=1_502.0)
+    assert not breaker.is_open(usual_ms=50.0, now_ms=1_503.0)
+
+
+def test_a_failing_endpoint_gets_one_request_at_a_time():
+    # Guards against an endpoint that is either flooded or never tried again.
+    state = make_state(failing=True)
+    fill(state, 1)
+    assert admission.offer(state, make_ticket(50), now_ms=0.0) is None
+    assert admission.admit_next(state, now_ms=0.0) is None
+
+
+def test_a_failing_endpoint_is_tried_now_and_then():
+    # Guards against an endpoint that never gets work again after a bad moment.
+    rng = random.Random(1)
+    failing = make_candidate("failing", state=EndpointState.FAILING, zone="b")
+    firsts = [
+        order_candidates(
+            [failing, make_candidate("good", in_flight=7)],
+            zone="a",
+            now_ms=1_000.0,
+            rng=rng,
+            may_try_failing=may_try,
+        )[0]
+        for may_try in [True] * 1_000 + [False] * 1_000
+    ]
+    assert 20 <= firsts[:1_000].count("failing") <= 100
+    assert "failing" not in firsts[1_000:]
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -296,3 +296,67 @@
     statuses, answer = run_fleet(scenario)
     assert statuses == [400, 400, 200, 400]
     assert answer.status == 200
+
+
+def test_a_stop_answers_requests_sent_behind_each_other(run_fleet):
+    # Guards against a stop that closes a connection whose next request is running.
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        host, _, port = vm.settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for number, work_ms in enumerate((100, 500, 300)):
+            writer.write(
+                f"GET /stock/p?work_ms={work_ms} HTTP/1.1\r\nHost: shop.example\r\n"
+                f"X-Vanillapitch-Attempt-Id: p{number}\r\n"
+                "X-Vanillapitch-Deadline-Ms: 2000\r\n\r\n".encode()
+            )
+        await fleet.wait_until(lambda: len(fleet.runs("/stock/")) == 3)
+        vm.daemon.request_stop()
+        data = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return data
+
+    data = run_fleet(scenario)
+    assert data.count(b"HTTP/1.1 200") == 3
+
+
+def test_a_zone_that_comes_back_is_checked_for_a_cold_start_first(run_fleet):
+    # Guards against full load on endpoints that turned cold while they were out.
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        fleet.store.put("op/evacuate/a", b"{}")
+        await fleet.wait_until(lambda: "zone_out" in states(fleet), timeout_s=1)
+        vm.endpoint.cold_until_s = time.monotonic() + 5.0
+        await asyncio.sleep(0.05)
+        seen = []
+        fleet.store.delete("op/evacuate/a")
+        while "cold" not in states(fleet):
+            seen.append(vm.daemon.endpoint_state)
+            await asyncio.sleep(0.001)
+        return seen
+
+    assert "ready" not in run_fleet(scenario, services=TWO_ZONES)
+
+
+def test_an_endpoint_that_fails_everything_loses_its_work(run_fleet):
+    # Guards against an endpoint that attracts work because it fails fast.
+    async def scenario(fleet):
+        bad = fleet.vms[0].endpoint
+        bad.faults.answer = "error"
+        for number in range(40):
+            await fleet.call(f"/shop-once/{number}", method="POST")
+        before = len(bad.runs)
+        answers = [
+            await fleet.call(f"/shop-once/x{n}", method="POST") for n in range(40)
+        ]
+        during = len(bad.runs) - before
+        bad.faults.answer = "whole"
+        await asyncio.sleep(1.5)
+        for number in range(60):
+            await fleet.call(f"/shop-once/y{number}", method="POST")
+        return during, answers, len(bad.runs) - before - during
+
+    during, answers, after = run_fleet(scenario, services=TWO_ZONES)
+    assert during <= 4
+    assert sum(answer.status == 200 for answer in answers) >= 36
+    assert after >= 5
