--- a/packages/vanillapitch-cli/src/vanillapitch_cli/main.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/main.py
@@ -6,7 +6,7 @@
 import typer
 from typer.core import TyperGroup
 
-from vanillapitch_cli import _report_command, _status_commands
+from vanillapitch_cli import _explain_command, _report_command, _status_commands
 from vanillapitch_cli._session import ADMIN_VARIABLE, Session
 from vanillapitch_cli._tables_commands import create_table_commands
 from vanillapitch_cli._zone_commands import zone_commands
@@ -49,6 +49,7 @@
 app.command()(_status_commands.status)
 app.command()(_status_commands.check)
 app.command()(_report_command.report)
+app.command()(_explain_command.explain)
 
 
 @app.callback()
