Do not acknowledge announcements of another incarnation, and survive clock jumps

Cause, found by reading: an old announcement was answered 200 even where it was not believed, so a leaving could be acknowledged and ignored; a start that lies before its predecessor's, after a jump of the wall clock, locked the endpoint out for good. Another incarnation's message now gets 409, a leaving of the same one counts in any order, and what answers health checks at the address may be believed. A link whose address was given to another VM ends.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= hanul
 SECONDS ?= 600
+# Workers of the tests without real processes.
+WORKERS ?= 3
 PACKAGES := core wire store daemon relay cli testbed
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/vanillapitch-$(name)) -e platform
 STAMP := $(VENV)/.installed
@@ -13,14 +15,18 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
 	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt \
-		$(EDITABLE) pytest hypothesis ruff matplotlib
+		$(EDITABLE) pytest pytest-xdist hypothesis ruff matplotlib
 	touch $(STAMP)
 
 demo: $(STAMP)
 	$(BIN)/python -m vanillapitch_testbed.demo --deployment $(DEPLOYMENT)
 
+# Tests with real processes measure times, so they run one after the other.
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile -m "not integration" \
+		packages platform
+	$(BIN)/python -m pytest -m integration packages
+	$(BIN)/python -m pytest tests
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -4,7 +4,11 @@
 
 from vanillapitch_store.exceptions import StoreError
 
-from vanillapitch_relay.endpoint_state import apply_announcement, apply_departure
+from vanillapitch_relay.endpoint_state import (
+    Verdict,
+    apply_announcement,
+    apply_departure,
+)
 from vanillapitch_relay.exceptions import AnnouncementInvalid
 from vanillapitch_relay.http_client import HttpAnswer, HttpRequest
 from vanillapitch_relay.http_server import make_answer
@@ -65,11 +69,12 @@
             return make_answer(400, b'{"code":"announcement_invalid"}')
         if isinstance(message, Departure):
             await self._depart(message)
-        else:
-            await self._announce(message, now_ms=arrived_ms)
+        elif not await self._announce(message, now_ms=arrived_ms):
+            return make_answer(409, b'{"code":"announcement_foreign"}')
         return make_answer(200, self._dialect.encode_acknowledgement())
 
-    async def _announce(self, announcement: Announcement, *, now_ms: float) -> None:
+    async def _announce(self, announcement: Announcement, *, now_ms: float) -> bool:
+        """Apply an announcement; return whether it may be acknowledged."""
         belief = self._owner.parts.belief
         if announcement.address != self._endpoint_address:
             _log.warning(
@@ -77,13 +82,14 @@
                 instance=announcement.instance,
                 address=announcement.address,
             )
-            return
+            return False
         was_leaving = belief.leaving
         before = belief.instance
-        believed = apply_announcement(belief, announcement, now_ms=now_ms)
-        if not believed:
+        verdict = apply_announcement(belief, announcement, now_ms=now_ms)
+        if verdict is not Verdict.BELIEVED:
             _log.info(
-                "announcement_old",
+                "announcement_not_believed",
+                verdict=verdict.value,
                 instance=announcement.instance,
                 sequence=announcement.sequence,
                 born_ms=announcement.born_ms,
@@ -91,13 +97,13 @@
                 known_sequence=belief.sequence,
                 known_born_ms=belief.born_ms,
             )
-            return
-        if before != belief.instance or not belief.verified:
+        elif before != belief.instance or not belief.verified:
             self._owner.parts.pool.close_all()
             self._examine()
         self._owner.refresh()
         if belief.leaving and not was_leaving:
             await self._store_departure()
+        return verdict is not Verdict.FOREIGN
 
     async def _depart(self, departure: Departure) -> None:
         belief = self._owner.parts.belief
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -1,12 +1,14 @@
 """What an owner believes of its endpoint, as functions of state and event."""
 
 import dataclasses
+import enum
 
 from vanillapitch_relay.model import Announcement, EndpointState
 
 __all__ = [
     "EndpointBelief",
     "HealthAnswer",
+    "Verdict",
     "apply_announcement",
     "apply_departure",
     "apply_departure_mark",
@@ -63,6 +65,8 @@
         Whether it answered a health check since it was last in doubt.
     reachable : bool
         Whether connections to it succeed.
+    answering_instance : str
+        Instance that answered the last health check; empty before one.
     cold_until_ms : float
         Monotonic time until which it is cold.
     departures_known : bool
@@ -79,13 +83,27 @@
     left_born_ms: int = -1
     verified: bool = False
     reachable: bool = True
+    answering_instance: str = ""
     cold_until_ms: float = 0.0
     departures_known: bool = False
 
 
+class Verdict(enum.Enum):
+    """What becomes of an announcement.
+
+    BELIEVED: it is newer than what was known. OLD: a later one of the same incarnation
+    was believed before. FOREIGN: it is of another, earlier incarnation, and must not be
+    acknowledged.
+    """
+
+    BELIEVED = "believed"
+    OLD = "old"
+    FOREIGN = "foreign"
+
+
 def apply_announcement(
     belief: EndpointBelief, announcement: Announcement, *, now_ms: float
-) -> bool:
+) -> Verdict:
     """Believe an announcement unless it is older than one believed before.
 
     Parameters
@@ -99,14 +117,22 @@
 
     Returns
     -------
-    bool
+    Verdict
         Whether it was believed.
     """
-    order = (announcement.born_ms, announcement.sequence)
-    if order <= (belief.born_ms, belief.sequence):
-        return False
+    is_same = (announcement.instance, announcement.born_ms) == (
+        belief.instance,
+        belief.born_ms,
+    )
+    if is_same and announcement.sequence <= belief.sequence:
+        if announcement.leaving:
+            # An incarnation that leaves does not come back, in whatever order it says so.
+            _leave(belief)
+        return Verdict.OLD
+    if announcement.born_ms < belief.born_ms and not _answers(belief, announcement):
+        return Verdict.FOREIGN
     is_new = announcement.instance != belief.instance or (
-        belief.born_ms >= 0 and announcement.born_ms > belief.born_ms
+        belief.born_ms >= 0 and announcement.born_ms != belief.born_ms
     )
     if is_new:
         belief.verified = False
@@ -122,7 +148,7 @@
         _leave(belief)
     elif _has_left(belief, announcement):
         belief.leaving = True
-    return True
+    return Verdict.BELIEVED
 
 
 def apply_departure(belief: EndpointBelief, instance: str) -> bool:
@@ -172,6 +198,7 @@
         Current time in milliseconds.
     """
     belief.reachable = True
+    belief.answering_instance = answer.instance
     belief.cold_until_ms = max(
         belief.cold_until_ms if not belief.verified else 0.0,
         now_ms + answer.cold_remaining_ms,
@@ -250,3 +277,14 @@
         return False
     # A departure without an announcement before it does not tell the start.
     return belief.left_born_ms < 0 or announcement.born_ms <= belief.left_born_ms
+
+
+def _answers(belief: EndpointBelief, announcement: Announcement) -> bool:
+    """Tell whether another instance than the one believed answers health checks.
+
+    The start is wall time, which may have jumped; what answers at the address is there.
+    """
+    answering = belief.answering_instance
+    return answering not in ("", belief.instance) and (
+        announcement.instance == answering
+    )
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -30,6 +30,7 @@
     400: "Bad Request",
     404: "Not Found",
     408: "Request Timeout",
+    409: "Conflict",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
@@ -285,6 +285,11 @@
             )
             connection.abort()
             return
+        if hello.member.node != self.member.node:
+            # The address was given to another VM, which has a link of its own.
+            _log.info("address_reused", node=self.member.node, by=hello.member.node)
+            connection.abort()
+            return
         self.member = hello.member
         self._take_report(hello.report)
         _log.info("link_up", node=self.member.node, state=hello.report.state)
--- a/packages/vanillapitch-relay/tests/test_endpoint_state.py
+++ b/packages/vanillapitch-relay/tests/test_endpoint_state.py
@@ -8,6 +8,7 @@
 from vanillapitch_relay.endpoint_state import (
     EndpointBelief,
     HealthAnswer,
+    Verdict,
     apply_announcement,
     apply_departure,
     apply_departure_mark,
@@ -48,35 +49,55 @@
     # Guards against endpoints that never get work.
     belief = EndpointBelief(service="shop")
     assert state_of(belief) is EndpointState.UNKNOWN
-    assert apply_announcement(belief, FIRST, now_ms=0.0)
+    assert apply_announcement(belief, FIRST, now_ms=0.0) is Verdict.BELIEVED
     assert state_of(belief) is EndpointState.DOWN
     apply_health(belief, HEALTHY, now_ms=0.0)
     assert state_of(belief) is EndpointState.READY
 
 
 @pytest.mark.parametrize(
-    "changes",
+    ("changes", "verdict"),
     [
-        {"sequence": 4},
-        {"sequence": 5},
-        {"born_ms": 900, "sequence": 9, "instance": "i-0"},
-        {"born_ms": 900, "sequence": 9, "leaving": True},
+        ({"sequence": 4}, Verdict.OLD),
+        ({"sequence": 5}, Verdict.OLD),
+        ({"born_ms": 900, "sequence": 9, "instance": "i-0"}, Verdict.FOREIGN),
+        ({"born_ms": 900, "sequence": 9, "leaving": True}, Verdict.FOREIGN),
     ],
 )
-def test_old_announcements_change_nothing(changes):
+def test_old_announcements_change_nothing(changes, verdict):
     # Guards against heartbeats that a partition delayed.
     belief = make_belief()
     before = dataclasses.asdict(belief)
     old = dataclasses.replace(FIRST, **changes)
-    assert not apply_announcement(belief, old, now_ms=0.0)
+    assert apply_announcement(belief, old, now_ms=0.0) is verdict
     assert dataclasses.asdict(belief) == before
 
 
+def test_a_late_message_of_leaving_counts_for_its_incarnation():
+    # Guards against an acknowledged leaving that a reordered heartbeat hid.
+    belief = make_belief()
+    late = dataclasses.replace(FIRST, sequence=4, leaving=True)
+    assert apply_announcement(belief, late, now_ms=0.0) is Verdict.OLD
+    assert state_of(belief) is EndpointState.LEAVING
+
+
+def test_a_clock_that_jumped_back_does_not_lock_an_endpoint_out():
+    # Guards against a new endpoint whose start seems to lie before its predecessor's.
+    belief = make_belief()
+    newcomer = dataclasses.replace(FIRST, instance="i-2", born_ms=500, sequence=1)
+    assert apply_announcement(belief, newcomer, now_ms=0.0) is Verdict.FOREIGN
+    apply_health(belief, dataclasses.replace(HEALTHY, instance="i-2"), now_ms=0.0)
+    newcomer = dataclasses.replace(newcomer, sequence=2)
+    assert apply_announcement(belief, newcomer, now_ms=0.0) is Verdict.BELIEVED
+    apply_health(belief, dataclasses.replace(HEALTHY, instance="i-2"), now_ms=0.0)
+    assert state_of(belief) is EndpointState.READY
+
+
 def test_an_acknowledged_leaving_is_final_for_its_incarnation():
     # Guards against work for an endpoint whose late heartbeat says it is ready.
     belief = make_belief()
     leaving = dataclasses.replace(FIRST, sequence=6, leaving=True)
-    assert apply_announcement(belief, leaving, now_ms=0.0)
+    apply_announcement(belief, leaving, now_ms=0.0)
     assert state_of(belief) is EndpointState.LEAVING
     ready = dataclasses.replace(FIRST, sequence=7)
     apply_announcement(belief, ready, now_ms=0.0)
@@ -89,7 +110,7 @@
     apply_departure(belief, "i-1")
     assert state_of(belief) is EndpointState.LEAVING
     reborn = dataclasses.replace(FIRST, born_ms=2_000, sequence=1)
-    assert apply_announcement(belief, reborn, now_ms=0.0)
+    assert apply_announcement(belief, reborn, now_ms=0.0) is Verdict.BELIEVED
     assert state_of(belief) is EndpointState.DOWN
     apply_health(belief, HEALTHY, now_ms=0.0)
     assert state_of(belief) is EndpointState.READY
@@ -194,8 +215,8 @@
     left = None
     for event in history:
         if isinstance(event, Announcement):
-            believed = apply_announcement(belief, event, now_ms=0.0)
-            if believed and event.leaving:
+            verdict = apply_announcement(belief, event, now_ms=0.0)
+            if verdict is not Verdict.FOREIGN and event.leaving:
                 left = (event.instance, event.born_ms)
         elif event == "unreachable":
             apply_unreachable(belief)
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -294,7 +294,7 @@
         return statuses, await fleet.call("/stock/a")
 
     statuses, answer = run_fleet(scenario)
-    assert statuses == [400, 400, 200, 400]
+    assert statuses == [400, 400, 409, 400]
     assert answer.status == 200
 
 
