--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -202,7 +202,7 @@
         route=route,
         priority=priority,
         on_time_until_ms=now_ms + on_time_wait_ms,
-        wait_until_ms=now_ms + max(late_wait_ms, on_time_wait_ms),
+        wait_until_ms=now_ms + max(0.0, late_wait_ms, on_time_wait_ms),
     )
 
 
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -216,6 +216,12 @@
     late = admission.make_ticket(
         state, ticket_id=1, objective_ms=-100.0, remaining_ms=400.0, **options
     )
+    hopeless = admission.make_ticket(
+        state, ticket_id=1, objective_ms=300.0, remaining_ms=200.0, **options
+    )
+    # The estimate may be wrong, and an idle endpoint loses nothing by trying.
+    assert admission.offer(state, hopeless, now_ms=1_000.0) is None
+    assert admission.admit_next(state, now_ms=1_000.0) is hopeless
     assert late.on_time_until_ms < 1_000.0
     assert late.wait_until_ms == pytest.approx(1_100.0, abs=1.0)
 
