--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -1,5 +1,6 @@
 """Decisions of an owner: which calls its endpoint gets, and when."""
 
+import bisect
 import collections
 import dataclasses
 import enum
@@ -10,13 +11,12 @@
     "AdmissionState",
     "CallTicket",
     "RefusalReason",
-    "WorkEstimate",
     "admit_next",
+    "begin",
     "end",
     "estimate_wait_ms",
     "expire",
     "next_event_ms",
-    "make_ticket",
     "offer",
     "withdraw",
 ]
@@ -24,9 +24,11 @@
 # Endpoints slow down by 1.7 above four fifths of their slots, so fewer in flight
 # finish more.
 LIMIT_SHARE = 0.8
-# A call that can no longer be answered within its latency objective waits behind those
-# that can, for at most this share of the time that its deadline leaves for waiting.
-LATE_WAIT_SHARE = 0.5
+# Share of what is left of the latency objective that a call may wait; beyond it another
+# endpoint or a refusal serves the caller better.
+WAIT_SHARE = 0.5
+# The same for a call that is already late, as a share of the time to its deadline.
+LATE_WAIT_SHARE = 0.25
 # Queue length as a multiple of the limit.
 QUEUE_LIMIT_FACTOR = 2
 LATENCY_WEIGHT = 0.1
@@ -58,51 +60,20 @@
     ----------
     id : int
         Unique at this owner.
-    route : str
-        Calls of one route take alike.
     priority : int
         0 is the highest.
-    on_time_until_ms : float
-        Last moment to send it and be answered within its latency objective.
+    due_ms : float
+        When its latency objective passes; the earliest of a priority goes first.
     wait_until_ms : float
         When it is refused if it still waits.
     """
 
     id: int
-    route: str
     priority: int
-    on_time_until_ms: float
+    due_ms: float
     wait_until_ms: float
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class WorkEstimate:
-    """Moving averages of execution times at the usual speed.
-
-    Attributes
-    ----------
-    mean_ms : float
-        Over all calls.
-    mean_ms_by_route : dict of str to float
-        By route.
-    """
-
-    mean_ms: float = INITIAL_LATENCY_MS
-    mean_ms_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def record(self, route: str, *, latency_ms: float, speed: float) -> None:
-        """Add the execution time of a call that ran at a speed; 1 is the usual one."""
-        sample_ms = latency_ms / speed
-        self.mean_ms += LATENCY_WEIGHT * (sample_ms - self.mean_ms)
-        known_ms = self.mean_ms_by_route.get(route, sample_ms)
-        known_ms += LATENCY_WEIGHT * (sample_ms - known_ms)
-        self.mean_ms_by_route[route] = known_ms
-
-    def expect_ms(self, route: str, *, speed: float) -> float:
-        """Return the expected execution time of a call at a speed."""
-        return self.mean_ms_by_route.get(route, self.mean_ms) * speed
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class AdmissionState:
     """Everything that decides whether a call is sent.
@@ -122,11 +93,9 @@
     running : set of int
         Tickets of calls at the endpoint.
     waiting : list of CallTicket
-        Calls that wait; those that can be on time are admitted first.
-    work : WorkEstimate
-        Execution times.
-    speed : float
-        Current speed; 2 means that work takes twice its usual time.
+        In the order in which they are admitted.
+    latency_ms : float
+        Moving average of the endpoint's execution time.
     sent_at_ms : deque of float
         Times of the sends of the last second.
     failing : bool
@@ -140,8 +109,7 @@
     cold_per_s: float = 0.0
     running: set[int] = dataclasses.field(default_factory=set)
     waiting: list[CallTicket] = dataclasses.field(default_factory=list)
-    work: WorkEstimate = dataclasses.field(default_factory=WorkEstimate)
-    speed: float = 1.0
+    latency_ms: float = INITIAL_LATENCY_MS
     sent_at_ms: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -160,71 +128,33 @@
         return now_ms < self.cold_until_ms
 
 
-def make_ticket(
-    state: AdmissionState,
-    *,
-    ticket_id: int,
-    route: str,
-    priority: int,
-    objective_ms: float,
-    remaining_ms: float,
-    now_ms: float,
-) -> CallTicket:
-    """Work out until when a call may wait.
+def wait_limit_ms(*, objective_ms: float, remaining_ms: float) -> float:
+    """Return how long a call may wait for the endpoint.
 
     Parameters
     ----------
-    state : AdmissionState
-        State of admission.
-    ticket_id : int
-        Unique id.
-    route : str
-        Its route.
-    priority : int
-        0 is the highest.
     objective_ms : float
         What is left of its latency objective; may be negative.
     remaining_ms : float
         What is left until its deadline.
-    now_ms : float
-        Current time in milliseconds.
-
-    Returns
-    -------
-    CallTicket
-        The ticket.
-    """
-    work_ms = state.work.expect_ms(route, speed=state.speed)
-    late_wait_ms = LATE_WAIT_SHARE * max(0.0, remaining_ms - work_ms)
-    on_time_wait_ms = min(objective_ms, remaining_ms) - work_ms
-    return CallTicket(
-        id=ticket_id,
-        route=route,
-        priority=priority,
-        on_time_until_ms=now_ms + on_time_wait_ms,
-        wait_until_ms=now_ms + max(0.0, late_wait_ms, on_time_wait_ms),
-    )
-
-
-def estimate_wait_ms(state: AdmissionState, *, ahead: int) -> float:
-    """Estimate how long a call waits behind others.
-
-    Parameters
-    ----------
-    state : AdmissionState
-        State of admission.
-    ahead : int
-        Calls that are sent before it.
 
     Returns
     -------
     float
         Milliseconds.
     """
+    if objective_ms > 0.0:
+        return min(WAIT_SHARE * objective_ms, remaining_ms)
+    return LATE_WAIT_SHARE * max(0.0, remaining_ms)
+
+
+def estimate_wait_ms(state: AdmissionState, ticket: CallTicket) -> float:
+    """Estimate how long a call would wait if it were queued now."""
+    ahead = bisect.bisect_right(state.waiting, _rank(ticket), key=_rank)
     free = state.limit - len(state.running)
     if free > ahead:
         return 0.0
-    return (ahead - free + 1) * state.work.mean_ms * state.speed / state.limit
+    return (ahead - free + 1) * state.latency_ms / state.limit
 
 
 def offer(
@@ -248,15 +178,16 @@
     """
     if state.blocked is not None:
         return state.blocked
-    rank = _rank(ticket, now_ms=now_ms)
-    ahead = sum(_rank(other, now_ms=now_ms) <= rank for other in state.waiting)
-    if now_ms + estimate_wait_ms(state, ahead=ahead) > ticket.wait_until_ms:
+    wait_ms = estimate_wait_ms(state, ticket)
+    if now_ms + wait_ms > ticket.wait_until_ms:
         return RefusalReason.OVERLOADED
-    if state.is_cold(now_ms=now_ms) and ahead >= _cold_room(state, now_ms=now_ms):
+    if state.is_cold(now_ms=now_ms) and len(state.waiting) >= _cold_room(
+        state, now_ms=now_ms
+    ):
         return RefusalReason.COLD
     if len(state.waiting) >= QUEUE_LIMIT_FACTOR * state.limit:
         return RefusalReason.OVERLOADED
-    state.waiting.append(ticket)
+    bisect.insort(state.waiting, ticket, key=_rank)
     return None
 
 
@@ -281,23 +212,21 @@
         return None
     if state.is_cold(now_ms=now_ms) and _cold_room(state, now_ms=now_ms) <= 0:
         return None
-    ticket = min(state.waiting, key=lambda other: _rank(other, now_ms=now_ms))
-    state.waiting.remove(ticket)
+    ticket = state.waiting.pop(0)
+    begin(state, ticket, now_ms=now_ms)
+    return ticket
+
+
+def begin(state: AdmissionState, ticket: CallTicket, *, now_ms: float) -> None:
+    """Count a call as sent and running."""
     check_invariant(ticket.id not in state.running, "a call is sent once")
     state.running.add(ticket.id)
     _forget_old_sends(state, now_ms=now_ms)
     state.sent_at_ms.append(now_ms)
     check_invariant(len(state.running) <= state.slots, "the slots are kept")
-    return ticket
 
 
-def end(
-    state: AdmissionState,
-    ticket: CallTicket,
-    *,
-    latency_ms: float | None,
-    speed: float = 1.0,
-) -> None:
+def end(state: AdmissionState, ticket: CallTicket, *, latency_ms: float | None) -> None:
     """Give the place of a call back.
 
     Parameters
@@ -308,12 +237,10 @@
         The call.
     latency_ms : float or None
         Execution time; None teaches nothing.
-    speed : float
-        Speed at which it ran.
     """
     state.running.discard(ticket.id)
     if latency_ms is not None:
-        state.work.record(ticket.route, latency_ms=latency_ms, speed=speed)
+        state.latency_ms += LATENCY_WEIGHT * (latency_ms - state.latency_ms)
 
 
 def withdraw(state: AdmissionState, ticket: CallTicket) -> bool:
@@ -355,7 +282,5 @@
         state.sent_at_ms.popleft()
 
 
-def _rank(ticket: CallTicket, *, now_ms: float) -> tuple[bool, int, float]:
-    if now_ms <= ticket.on_time_until_ms:
-        return (False, ticket.priority, ticket.on_time_until_ms)
-    return (True, ticket.priority, ticket.wait_until_ms)
+def _rank(ticket: CallTicket) -> tuple[int, float]:
+    return (ticket.priority, ticket.due_ms)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -126,7 +126,7 @@
     )
     if is_same and announcement.sequence <= belief.sequence:
         if announcement.leaving:
-            # An incarnation that leaves does not come back, in whatever order it says it.
+            # An incarnation that leaves does not come back, in any order of messages.
             _leave(belief)
         return Verdict.OLD
     if announcement.born_ms < belief.born_ms and not _answers(belief, announcement):
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -340,7 +340,6 @@
             id=0,
             request_id=progress.request_id,
             service_name=progress.service,
-            route=progress.route.name,
             method=progress.request.method,
             target=progress.request.target,
             headers=headers,
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -45,7 +45,6 @@
 REPORT_OCCUPANCY_STEP = 0.25
 REPORT_SPEED_RATIO = 1.3
 REPORT_INTERVAL_MS = 20.0
-USUAL_SPEED_PERCENT = 100
 # Below this, an endpoint cannot answer in time.
 MIN_REMAINING_MS = 5.0
 _BLOCKED_BY_STATE = {
@@ -150,7 +149,7 @@
             speed_percent=self.speed_percent,
             failure_percent=int(100 * self._failures.share(now_ms=self._now_ms())),
             revision=self.parts.revision(),
-            latency_ms=self.admission.work.mean_ms,
+            latency_ms=self.admission.latency_ms,
         )
 
     def refresh(self) -> None:
@@ -189,7 +188,7 @@
         if state is EndpointState.DOWN:
             self._breaker.reset()
         self.admission.failing = state is EndpointState.READY and self._breaker.is_open(
-            usual_ms=self.admission.work.mean_ms, now_ms=now_ms
+            usual_ms=self.admission.latency_ms, now_ms=now_ms
         )
         return EndpointState.FAILING if self.admission.failing else state
 
@@ -223,7 +222,6 @@
         if reason is not None:
             return self._refuse(call, reason, source=source, arrived_ms=arrived_ms)
         sent_ms = self._now_ms()
-        sent_speed = self.admission.speed
         latency_ms = None
         succeeded = None
         self._breaker.start(ticket.id, now_ms=sent_ms)
@@ -235,8 +233,7 @@
                 succeeded = 0 < reply.status < 500
         finally:
             self._breaker.end(ticket.id, succeeded=succeeded, now_ms=self._now_ms())
-            speed = (sent_speed + self.admission.speed) / 2.0
-            admission.end(self.admission, ticket, latency_ms=latency_ms, speed=speed)
+            admission.end(self.admission, ticket, latency_ms=latency_ms)
             self._pump()
             self._publish_if_changed()
         _log.info(
@@ -256,14 +253,14 @@
         return reply
 
     def _make_ticket(self, call: Call, *, now_ms: float) -> CallTicket:
-        return admission.make_ticket(
-            self.admission,
-            ticket_id=next(self._ticket_ids),
-            route=call.route,
+        wait_ms = admission.wait_limit_ms(
+            objective_ms=call.objective_ms, remaining_ms=call.remaining_ms
+        )
+        return CallTicket(
+            id=next(self._ticket_ids),
             priority=call.priority,
-            objective_ms=call.objective_ms,
-            remaining_ms=call.remaining_ms,
-            now_ms=now_ms,
+            due_ms=now_ms + call.objective_ms,
+            wait_until_ms=now_ms + wait_ms,
         )
 
     def _find_objection(self, call: Call) -> RefusalReason | None:
@@ -419,7 +416,6 @@
             return
         self.last_answer_ms = self._now_ms()
         self.speed_percent = figures.speed_percent
-        self.admission.speed = figures.speed_percent / USUAL_SPEED_PERCENT
 
     def _refuse(
         self, call: Call, reason: RefusalReason, *, source: str, arrived_ms: float
--- a/packages/vanillapitch-wire/idl/relay.thrift
+++ b/packages/vanillapitch-wire/idl/relay.thrift
@@ -53,7 +53,6 @@
   10: required i32 priority;      // 0 is the highest
   11: required bool idempotent;
   12: required string fingerprint;
-  13: required string route;      // calls of one route take alike
 }
 
 struct Reply {
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
@@ -630,7 +630,6 @@
      - priority
      - idempotent
      - fingerprint
-     - route
 
     """
 
@@ -647,11 +646,10 @@
         'priority',
         'idempotent',
         'fingerprint',
-        'route',
     )
 
 
-    def __init__(self, id=None, request_id=None, service_name=None, method=None, target=None, headers=None, body=None, remaining_ms=None, objective_ms=None, priority=None, idempotent=None, fingerprint=None, route=None,):
+    def __init__(self, id=None, request_id=None, service_name=None, method=None, target=None, headers=None, body=None, remaining_ms=None, objective_ms=None, priority=None, idempotent=None, fingerprint=None,):
         self.id = id
         self.request_id = request_id
         self.service_name = service_name
@@ -664,7 +662,6 @@
         self.priority = priority
         self.idempotent = idempotent
         self.fingerprint = fingerprint
-        self.route = route
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -741,11 +738,6 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.STRING:
-                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -807,10 +799,6 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 12)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
-        if self.route is not None:
-            oprot.writeFieldBegin('route', TType.STRING, 13)
-            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -839,8 +827,6 @@
             raise TProtocolException(message='Required field idempotent is unset!')
         if self.fingerprint is None:
             raise TProtocolException(message='Required field fingerprint is unset!')
-        if self.route is None:
-            raise TProtocolException(message='Required field route is unset!')
         return
 
     def __repr__(self):
@@ -1710,7 +1696,6 @@
     (10, TType.I32, 'priority', None, None, ),  # 10
     (11, TType.BOOL, 'idempotent', None, None, ),  # 11
     (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
-    (13, TType.STRING, 'route', 'UTF8', None, ),  # 13
 )
 all_structs.append(Reply)
 Reply.thrift_spec = (
