Run the deployment's programs as processes on the stand-ins

make demo DEPLOYMENT=platform starts five daemons as processes, takes a zone out, kills one, stops one by signal, silences the store and checks from callers and endpoints that nothing runs twice, no refusal is false, slots and zones are kept. Tests for signals and for a stopped process.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,11 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
+ifeq ($(DEPLOYMENT),platform)
+	$(BIN)/python -m vanillapitch_testbed.platform_demo
+else
 	$(BIN)/python -m vanillapitch_testbed.demo --deployment $(DEPLOYMENT)
+endif
 
 # Tests with real processes measure times, so they run one after the other.
 test: $(STAMP)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -19,7 +19,7 @@
 from vanillapitch_testbed.platform_standins._endpoint import EndpointStandIn
 from vanillapitch_testbed.platform_standins._store import StoreStandIn
 
-__all__ = ["ServiceSpec", "StandInFleet", "Vm", "make_configuration", "make_settings"]
+__all__ = ["ServiceSpec", "StandInFleet", "Vm", "make_configuration"]
 
 HOST = "shop.example"
 STORE_PORT = 8309
@@ -52,8 +52,10 @@
 
     Attributes
     ----------
+    document : bytes
+        Settings file of the daemon.
     settings : Settings
-        Settings of the daemon.
+        The same, decoded.
     endpoint : EndpointStandIn
         The endpoint.
     daemon : Daemon or None
@@ -62,6 +64,7 @@
         Its task.
     """
 
+    document: bytes
     settings: Settings
     endpoint: EndpointStandIn
     daemon: Daemon | None = None
@@ -143,10 +146,10 @@
     return msgspec.json.encode({"version": version, "resources": resources})
 
 
-def make_settings(
+def make_settings_document(
     *, node: str, zone: str, service: str, ip: str, store_address: str
-) -> Settings:
-    """Build the settings of a daemon at a loopback address."""
+) -> bytes:
+    """Build the settings file of a daemon at a loopback address."""
     document = {
         "node": node,
         "zone": zone,
@@ -166,7 +169,7 @@
             "retry_window_s": 10,
         },
     }
-    return decode_settings(msgspec.json.encode(document))
+    return msgspec.json.encode(document)
 
 
 class StandInFleet:
@@ -223,13 +226,14 @@
     async def add_vm(self, service: ServiceSpec, zone: str) -> Vm:
         """Add a VM with an endpoint and a daemon."""
         ip = f"{self._net}.{len(self.vms) + 10}"
-        settings = make_settings(
+        document = make_settings_document(
             node=f"vm-{len(self.vms) + 1}",
             zone=zone,
             service=service.name,
             ip=ip,
             store_address=f"{self.store_host(len(self.vms))}:{STORE_PORT}",
         )
+        settings = decode_settings(document)
         endpoint = EndpointStandIn(
             address=settings.endpoint_address,
             control_address=settings.announce_address,
@@ -237,7 +241,7 @@
             zone=zone,
             slots=service.slots,
         )
-        vm = Vm(settings=settings, endpoint=endpoint)
+        vm = Vm(document=document, settings=settings, endpoint=endpoint)
         self.vms.append(vm)
         await self.start_daemon(vm)
         await endpoint.start()
--- /dev/null
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -0,0 +1,98 @@
+"""Daemons of the platform as processes, on the stand-ins of this one."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
+from vanillapitch_testbed.platform_standins._caller import send_request
+from vanillapitch_testbed.platform_standins._fleet import (
+    ServiceSpec,
+    StandInFleet,
+    Vm,
+)
+
+__all__ = ["ProcessFleet"]
+
+READY_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 10.0
+
+
+class ProcessFleet(StandInFleet):
+    """A `StandInFleet` whose daemons are processes of their own.
+
+    Parameters
+    ----------
+    services : list of ServiceSpec
+        Services with their endpoints.
+    """
+
+    def __init__(self, *, services: list[ServiceSpec]):
+        super().__init__(services=services)
+        self._folder = tempfile.TemporaryDirectory()
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start_daemon(self, vm: Vm) -> None:
+        """Start the program that the deployment runs."""
+        folder = pathlib.Path(self._folder.name)
+        path = folder / f"{vm.settings.node}.json"
+        path.write_bytes(vm.document)
+        log = (folder / f"{vm.settings.node}.log").open("ab")
+        self._processes[vm.settings.node] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "import sys; from vanillapitch_adapter.main import main; sys.exit(main())",
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "VANILLAPITCH_BOOT": str(path)},
+        )
+        log.close()
+
+    async def wait_until_connected(self, *, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until every daemon answers a request to each service."""
+        async with asyncio.timeout(timeout_s):
+            for vm in self.vms:
+                for service in self.services:
+                    await self._wait_for_answer(vm, f"/{service.name}/ready")
+
+    def signal(self, vm: Vm, number: signal.Signals) -> None:
+        """Send a signal to the daemon of a VM."""
+        self._processes[vm.settings.node].send_signal(number)
+
+    async def wait_for_end(self, vm: Vm) -> int:
+        """Wait until the daemon of a VM ends; return its exit code."""
+        process = self._processes[vm.settings.node]
+        return await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
+
+    def log_of(self, vm: Vm) -> str:
+        """Return what the daemon of a VM has written."""
+        path = pathlib.Path(self._folder.name, f"{vm.settings.node}.log")
+        return path.read_text(encoding="utf-8", errors="replace")
+
+    async def kill_daemon(self, vm: Vm) -> None:
+        """Kill the daemon of a VM."""
+        process = self._processes.get(vm.settings.node)
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for vm in self.vms:
+            await self.kill_daemon(vm)
+            await vm.endpoint.stop()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    async def _wait_for_answer(self, vm: Vm, target: str) -> None:
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                answer = await send_request(
+                    vm.settings.caller_address, target, timeout_s=2.0
+                )
+                if answer.status == 200:
+                    return
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/integration/test_platform.py
@@ -0,0 +1,67 @@
+"""The deployment's programs as processes, on stand-ins of the platform."""
+
+import asyncio
+import signal
+
+import pytest
+from vanillapitch_testbed.platform_demo import run_demo
+from vanillapitch_testbed.platform_standins import ServiceSpec
+from vanillapitch_testbed.platform_standins._processes import ProcessFleet
+
+pytestmark = pytest.mark.integration
+
+SHOP = ServiceSpec(name="shop", zones=("a", "b"))
+
+
+def run_processes(scenario):
+    async def body():
+        fleet = ProcessFleet(services=[SHOP])
+        try:
+            await fleet.start()
+            return await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    return asyncio.run(asyncio.wait_for(body(), 60))
+
+
+def test_the_demo_breaks_no_promise():
+    # Guards against a deployment that works only inside one event loop.
+    promises = asyncio.run(asyncio.wait_for(run_demo(seed=7), 90))
+    assert promises.broken == []
+    assert len(promises.sent) > 500
+
+
+def test_signals_stop_and_reload(tmp_path):
+    # Guards against a reload that ends the process and a stop that is not clean.
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        fleet.signal(vm, signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        answer = await fleet.call("/shop/a")
+        fleet.signal(vm, signal.SIGTERM)
+        return answer, await fleet.wait_for_end(vm), fleet.log_of(vm)
+
+    answer, code, log = run_processes(scenario)
+    assert (answer.status, code) == (200, 0)
+    events = ['"started"', '"reloaded"', '"stopping"', '"stopped"']
+    positions = [log.index(event) for event in events]
+    assert positions == sorted(positions)
+
+
+def test_a_stopped_process_loses_its_work_and_gets_it_back():
+    # Guards against calls that hang on a daemon that does not run.
+    async def scenario(fleet):
+        frozen = fleet.vms[1]
+        fleet.signal(frozen, signal.SIGSTOP)
+        await asyncio.sleep(2.5)
+        answers = [await fleet.call(f"/shop/{number}") for number in range(20)]
+        fleet.signal(frozen, signal.SIGCONT)
+        before = len(frozen.endpoint.runs)
+        async with asyncio.timeout(5):
+            while len(frozen.endpoint.runs) < before + 3:
+                await asyncio.gather(*(fleet.call(f"/shop/b{n}") for n in range(12)))
+        return answers
+
+    answers = run_processes(scenario)
+    assert [answer.status for answer in answers] == [200] * 20
