--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_demo.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_demo.py
@@ -1,8 +1,8 @@
 """The deployment's programs on stand-ins of the platform, for ``make demo``.
 
-While callers send requests, a zone is taken out and brought back, a daemon is killed and
-started again, one is stopped gracefully, and the store goes away. The demo prints what
-callers got and fails when a promise is broken.
+While callers send requests, a zone is taken out and brought back, a daemon is killed
+and started again, one is stopped gracefully, and the store goes away. The demo prints
+what callers got and fails when a promise is broken.
 """
 
 import argparse
