Read no further request when the listeners close at a stop

Cause: a stopping daemon read requests from open connections until 0.4 s before the kill and then dropped those under way. Reading now ends 2.6 s after the signal, connections end after the answers that are due, and are closed gently, since unread bytes would reset them.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -1,7 +1,6 @@
 """Assembly of a daemon: listeners, tasks, signals and the graceful stop."""
 
 import asyncio
-import contextlib
 import logging
 import signal
 from collections.abc import Callable
@@ -48,6 +47,8 @@
 # connections until then.
 CALLERS_STOP_MS = 2_600.0
 STOP_CHECK_MS = 20.0
+# Answers that were written last are on their way before the process ends.
+LAST_ANSWERS_MS = 100.0
 # Answers are written and the process ends within this time before the kill.
 STOP_MARGIN_MS = 400.0
 DEPARTURE_RETRY_MS = 300.0
@@ -401,14 +402,12 @@
         await asyncio.sleep((CALLERS_STOP_MS - OWNER_STOP_MS) / 1_000.0)
         for server in self._servers:
             server.close()
+        self._callers.end_reading()
         while self._clock.now_ms() < last_ms and self._is_busy():
-            self._callers.close_idle()
             await asyncio.sleep(STOP_CHECK_MS / 1_000.0)
-        self._callers.close_idle()
         _log.info("stopped", in_flight=self._ingress.in_flight)
         self._hub.stop()
         for task in (*self._tasks, leaving):
             task.cancel()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.sleep(0.02), 0.1)
+        await asyncio.sleep(LAST_ANSWERS_MS / 1_000.0)
         self._writer.flush()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -24,6 +24,8 @@
 MAX_PIPELINED = 32
 # Bytes of bodies that callers may have in the process at once.
 MAX_BODY_BYTES_HELD = 96 * 1024 * 1024
+# Bytes that a caller sends after its last answer are read and dropped for this long.
+LINGER_MS = 500.0
 # A caller that does not read its answers is cut off after this many milliseconds.
 WRITE_TIMEOUT_MS = 10_000.0
 _PHRASES = {
@@ -146,10 +148,10 @@
     stopping: bool = False
     body_budget: BodyBudget = dataclasses.field(default_factory=BodyBudget)
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is read or handled."""
+    def end_reading(self) -> None:
+        """Read no further requests, and close each connection after its answers."""
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.end_reading()
 
     def abort_all(self) -> None:
         """Reset all connections."""
@@ -233,10 +235,11 @@
         self._pending += data
         self._read_requests()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or handled."""
-        if not self._is_busy and not self._closed:
-            self._transport.close()
+    def end_reading(self) -> None:
+        """Read no further request, and close after the answers that are due."""
+        self._reading_ended = True
+        if not self._exchanges:
+            self._close_gently()
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -373,7 +376,8 @@
                 return
             exchange = self._exchanges.popleft()
             # Requests behind this one may be at an endpoint already.
-            stops = self._state.stopping and not self._exchanges
+            is_last = not self._exchanges
+            stops = is_last and (self._state.stopping or self._reading_ended)
             close = exchange.close_after or stops
             self._write_answer(exchange, close=close)
             self._since_ms = self._state.clock.now_ms()
@@ -418,7 +422,14 @@
                 self._release(exchange)
         self._exchanges.clear()
         self._in_message = False
-        self._transport.close()
+        self._close_gently()
+
+    def _close_gently(self) -> None:
+        """Close, but let the caller read: unread bytes would reset the connection."""
+        if self._closed or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._loop.call_later(LINGER_MS / 1_000.0, self._transport.close)
 
     def _refuse(self, reason: str, *, status: int) -> None:
         """Answer a request that cannot be read, after those before it."""
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -381,3 +381,40 @@
     refused, waited = run_fleet(scenario, routes=[{**route, "timeout_s": 10.0}])
     assert refused.status in (503, 504)
     assert waited.status == 200
+
+
+def test_a_stop_ends_although_a_caller_keeps_sending(run_fleet):
+    # Seen on ishikari-baling trouble-3 --seed 13595337225 and hanul-mesh trouble-3
+    # --seed 457723205627: a process read requests until shortly before it was killed.
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        host, _, port = vm.settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+
+        async def send():
+            for number in range(80):
+                writer.write(
+                    f"GET /stock/p?work_ms=300 HTTP/1.1\r\nHost: shop.example\r\n"
+                    f"X-Vanillapitch-Attempt-Id: p{number}\r\n"
+                    "X-Vanillapitch-Deadline-Ms: 2000\r\n\r\n".encode()
+                )
+                await asyncio.sleep(0.1)
+
+        sender = asyncio.create_task(send())
+        reading = asyncio.create_task(reader.read(10_000_000))
+        await asyncio.sleep(0.5)
+        began = time.monotonic()
+        vm.daemon.request_stop()
+        received = bytearray()
+        while data := await reading:
+            received += data
+            reading = asyncio.create_task(reader.read(10_000_000))
+        await asyncio.wait_for(vm.task, 6)
+        sender.cancel()
+        writer.close()
+        return time.monotonic() - began, received, fleet.runs("/stock/")
+
+    took, received, runs = run_fleet(scenario)
+    assert took < 4.0
+    assert received.count(b"HTTP/1.1 200") == len(runs)
+    assert {run.ended for run in runs} == {"answered"}
