Split the ingress, the owner and the server of callers

Answers of the daemon, the progress of a request with the messages made from it, and the feed of reports are modules of their own.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -11,8 +11,8 @@
     apply_departure,
 )
 from vanillapitch_relay.exceptions import AnnouncementInvalid
+from vanillapitch_relay.http_answers import make_answer
 from vanillapitch_relay.http_client import HttpAnswer, HttpRequest
-from vanillapitch_relay.http_server import make_answer
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import Announcement, Departure, Dialect
 from vanillapitch_relay.owner import Owner
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -15,12 +15,12 @@
 from vanillapitch_relay.endpoint_pool import EndpointPool
 from vanillapitch_relay.endpoint_state import EndpointBelief, apply_departure_mark
 from vanillapitch_relay.exceptions import SettingsInvalid
+from vanillapitch_relay.http_answers import make_answer
 from vanillapitch_relay.http_client import HttpAnswer, HttpRequest
 from vanillapitch_relay.http_server import (
     CallerConnection,
     Handler,
     ServerState,
-    make_answer,
 )
 from vanillapitch_relay.hub import Hub
 from vanillapitch_relay.ingress import Ingress
@@ -30,6 +30,7 @@
 from vanillapitch_relay.owner import Owner, OwnerParts
 from vanillapitch_relay.quarantine import Quarantine
 from vanillapitch_relay.ranking import USABLE_STATES
+from vanillapitch_relay.report_feed import ReportFeed
 from vanillapitch_relay.retry_budget import SharedRetryBudget
 from vanillapitch_relay.store_port import AsyncKeyValueStore
 from vanillapitch_relay.store_session import StoreSession
@@ -152,8 +153,10 @@
         self._quarantine = Quarantine(clock=clock, share=self._hub.publish_strike)
         self._owner = Owner(
             parts=self._make_owner_parts(),
-            publish_load=self._hub.publish_load,
-            publish_state=self._hub.publish_state,
+            reports=ReportFeed(
+                send_to_users=self._hub.publish_load,
+                send_to_all=self._hub.publish_state,
+            ),
             examine=self._examine,
         )
         self._hub.owner = self._owner
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -1,30 +1,30 @@
 """The ingress: answers the requests of the callers on this VM."""
 
 import asyncio
-import dataclasses
 import random
 
 import msgspec
 from vanillapitch_core.clock import Clock
 from vanillapitch_core.quarantine import compute_fingerprint
-from vanillapitch_wire.relay import Call, EndpointReport, HeaderField, Reply
+from vanillapitch_wire.relay import Reply
 
 from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.http_answers import make_answer
 from vanillapitch_relay.http_client import (
     Headers,
     HttpAnswer,
     HttpRequest,
     find_header,
 )
-from vanillapitch_relay.http_server import make_answer, strip_hop_headers
 from vanillapitch_relay.hub import Hub
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.links import LinkBroken
 from vanillapitch_relay.metrics import Metrics
-from vanillapitch_relay.model import Dialect, Ending, EndpointState, Route, Settings
+from vanillapitch_relay.model import Dialect, Ending, Route, Settings
 from vanillapitch_relay.owner import Owner
+from vanillapitch_relay.progress import Progress, make_call, make_candidate
 from vanillapitch_relay.quarantine import Quarantine
-from vanillapitch_relay.ranking import Candidate, order_candidates
+from vanillapitch_relay.ranking import order_candidates
 from vanillapitch_relay.retry_budget import SharedRetryBudget
 from vanillapitch_relay.routing import WeightedChoice
 
@@ -46,50 +46,6 @@
 STATUS_NOT_RUN = 503
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Progress:
-    """What became of one request so far.
-
-    Attributes
-    ----------
-    request : HttpRequest
-        The request.
-    route : Route
-        Its route.
-    service : str
-        Service that the weights chose.
-    request_id : str
-        Id of the attempt.
-    fingerprint : str
-        Identity across attempts.
-    arrived_ms, deadline_ms : float
-        Monotonic times.
-    asked : set of str
-        Owners asked so far.
-    arrivals : int
-        Endpoints that may have received it.
-    may_have_run : bool
-        Whether an endpoint may have run it.
-    refusals : int
-        Owners that refused it.
-    under_way : bool
-        Whether an owner has it now.
-    """
-
-    request: HttpRequest
-    route: Route
-    service: str
-    request_id: str
-    fingerprint: str
-    arrived_ms: float
-    deadline_ms: float
-    asked: set[str] = dataclasses.field(default_factory=set)
-    arrivals: int = 0
-    may_have_run: bool = False
-    refusals: int = 0
-    under_way: bool = False
-
-
 class Ingress:
     """Forwards requests to owners and answers callers.
 
@@ -215,11 +171,11 @@
         *,
         arrived_ms: float,
         remaining_ms: float,
-    ) -> _Progress:
+    ) -> Progress:
         host = find_header(request.headers, b"host") or b""
         service = self._weights.choose(route)
         self._budget.record_request(service, now_ms=arrived_ms)
-        return _Progress(
+        return Progress(
             request=request,
             route=route,
             service=service,
@@ -234,7 +190,7 @@
             deadline_ms=arrived_ms + min(remaining_ms, route.timeout_ms),
         )
 
-    async def _forward(self, progress: _Progress) -> tuple[HttpAnswer, str]:
+    async def _forward(self, progress: Progress) -> tuple[HttpAnswer, str]:
         if self._quarantine.is_refused(progress.fingerprint):
             return self._refuse(progress, "quarantined"), "quarantined"
         remaining_ms = progress.deadline_ms - self._clock.now_ms()
@@ -246,7 +202,7 @@
                 return self._give_up(504, "deadline"), "deadline"
             return self._refuse(progress, "deadline_not_run"), "deadline_not_run"
 
-    async def _try_owners(self, progress: _Progress) -> tuple[HttpAnswer, str]:
+    async def _try_owners(self, progress: Progress) -> tuple[HttpAnswer, str]:
         while True:
             node = await self._choose_or_wait(progress)
             if node is None:
@@ -267,7 +223,7 @@
             if not self._may_repeat(progress, ending, reply):
                 return self._conclude(progress, ending, reply), reply.reason
 
-    async def _choose_or_wait(self, progress: _Progress) -> str | None:
+    async def _choose_or_wait(self, progress: Progress) -> str | None:
         """Choose an owner; while none is known, wait shortly for the first."""
         until_ms = progress.arrived_ms + HOLD_SHARE * progress.route.objective_ms
         while True:
@@ -276,19 +232,19 @@
                 return node
             await asyncio.sleep(HOLD_STEP_MS / 1_000.0)
 
-    def _choose(self, progress: _Progress) -> str | None:
+    def _choose(self, progress: Progress) -> str | None:
         now_ms = self._clock.now_ms()
         candidates = []
         own_zone = self._settings.zone
         if progress.service == self._owner.parts.belief.service:
             candidates.append(
-                _make_candidate(
+                make_candidate(
                     self._settings.node, own_zone, self._owner.report(), now_ms=now_ms
                 )
             )
         for node, link in self._hub.links_by_node.items():
             if link.is_up and link.member.service_name == progress.service:
-                candidate = _make_candidate(
+                candidate = make_candidate(
                     node, link.member.zone, link.report, now_ms=link.reported_at_ms
                 )
                 candidate.sent_since_report = link.sent_since_report
@@ -308,8 +264,13 @@
         )
         return order[0] if order else None
 
-    async def _call(self, progress: _Progress, node: str) -> Reply:
-        call = self._make_call(progress)
+    async def _call(self, progress: Progress, node: str) -> Reply:
+        call = make_call(
+            progress,
+            names=self._dialect.headers,
+            caller_service=self._settings.service,
+            now_ms=self._clock.now_ms(),
+        )
         progress.under_way = True
         try:
             if node == self._settings.node:
@@ -330,38 +291,7 @@
             task = asyncio.current_task()
             progress.under_way = task is not None and task.cancelling() > 0
 
-    def _make_call(self, progress: _Progress) -> Call:
-        now_ms = self._clock.now_ms()
-        names = self._dialect.headers
-        replaced = (names.deadline, names.expected_instance, names.caller_service)
-        headers = [
-            HeaderField(name=name.decode("latin-1"), value=value.decode("latin-1"))
-            for name, value in strip_hop_headers(progress.request.headers)
-            if name not in replaced
-        ]
-        headers.append(
-            HeaderField(
-                name=names.caller_service.decode("latin-1"),
-                value=self._settings.service,
-            )
-        )
-        objective_ms = progress.arrived_ms + progress.route.objective_ms - now_ms
-        return Call(
-            id=0,
-            request_id=progress.request_id,
-            service_name=progress.service,
-            method=progress.request.method,
-            target=progress.request.target,
-            headers=headers,
-            body=progress.request.body,
-            remaining_ms=int(progress.deadline_ms - now_ms),
-            objective_ms=int(objective_ms),
-            priority=progress.route.priority,
-            idempotent=progress.route.idempotent,
-            fingerprint=progress.fingerprint,
-        )
-
-    def _may_repeat(self, progress: _Progress, ending: Ending, reply: Reply) -> bool:
+    def _may_repeat(self, progress: Progress, ending: Ending, reply: Reply) -> bool:
         """Decide whether the request is sent to another endpoint."""
         reason = self._find_repeat_objection(progress, ending, reply)
         if reason is None:
@@ -381,7 +311,7 @@
         return reason == "repeated"
 
     def _find_repeat_objection(
-        self, progress: _Progress, ending: Ending, reply: Reply
+        self, progress: Progress, ending: Ending, reply: Reply
     ) -> str | None:
         if ending is Ending.ANSWERED and reply.status < 500:
             return "answered"
@@ -395,14 +325,12 @@
             return "past_deadline"
         return None
 
-    def _conclude(
-        self, progress: _Progress, ending: Ending, reply: Reply
-    ) -> HttpAnswer:
+    def _conclude(self, progress: Progress, ending: Ending, reply: Reply) -> HttpAnswer:
         if ending is Ending.ANSWERED:
             return self._relay(progress, reply)
         return self._end_without(progress, reply.reason)
 
-    def _relay(self, progress: _Progress, reply: Reply) -> HttpAnswer:
+    def _relay(self, progress: Progress, reply: Reply) -> HttpAnswer:
         # These promise that nothing ran, which an endpoint without its mark does not.
         if reply.status in (408, 421, 429, 503) and not progress.route.idempotent:
             return self._give_up(502, "endpoint_unavailable")
@@ -417,13 +345,13 @@
             body=reply.body,
         )
 
-    def _end_without(self, progress: _Progress, reason: str) -> HttpAnswer:
+    def _end_without(self, progress: Progress, reason: str) -> HttpAnswer:
         """Answer without an endpoint's answer."""
         if progress.may_have_run:
             return self._give_up(502, reason)
         return self._refuse(progress, reason)
 
-    def _refuse(self, progress: _Progress, reason: str) -> HttpAnswer:
+    def _refuse(self, progress: Progress, reason: str) -> HttpAnswer:
         """Say truthfully that the request has not run and when to come back."""
         low, high = RETRY_AFTER_SHARE
         share = self._rng.uniform(low, high)
@@ -466,9 +394,7 @@
         value = find_header(request.headers, self._dialect.headers.request_id)
         return (value or b"").decode("latin-1")
 
-    def _note_end(
-        self, progress: _Progress, answer: HttpAnswer, *, reason: str
-    ) -> None:
+    def _note_end(self, progress: Progress, answer: HttpAnswer, *, reason: str) -> None:
         took_ms = self._clock.now_ms() - progress.arrived_ms
         kind = "idempotent" if progress.route.idempotent else "once"
         self._metrics.observe_latency_ms(kind, took_ms)
@@ -487,23 +413,6 @@
         )
 
 
-def _make_candidate(
-    node: str, zone: str, report: EndpointReport, *, now_ms: float
-) -> Candidate:
-    return Candidate(
-        node=node,
-        zone=zone,
-        state=EndpointState(report.state),
-        limit=report.limit,
-        in_flight=report.in_flight,
-        waiting=report.waiting,
-        sent_since_report=0,
-        speed_percent=report.speed_percent,
-        failure_percent=report.failure_percent,
-        reported_at_ms=now_ms,
-    )
-
-
 def _parse_deadline(value: bytes | None) -> float | None:
     if value is None or not value.isdigit() or len(value) > 9:
         return None
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -36,15 +36,12 @@
 from vanillapitch_relay.metrics import Metrics
 from vanillapitch_relay.model import Dialect, Ending, EndpointState
 from vanillapitch_relay.quarantine import Quarantine
+from vanillapitch_relay.report_feed import ReportFeed
 
 __all__ = ["Owner", "OwnerParts"]
 
 _log = EventLog(part="owner")
 
-# A report is sent to the ingresses when occupancy or speed moved by these steps.
-REPORT_OCCUPANCY_STEP = 0.25
-REPORT_SPEED_RATIO = 1.3
-REPORT_INTERVAL_MS = 20.0
 # Below this, an endpoint cannot answer in time.
 MIN_REMAINING_MS = 5.0
 _BLOCKED_BY_STATE = {
@@ -105,8 +102,8 @@
     ----------
     parts : OwnerParts
         What it works with.
-    publish_load, publish_state : callable
-        Send a report to the ingresses that use this owner, or to all.
+    reports : ReportFeed
+        Sends reports to ingresses.
     examine : callable
         Asks for a health check at once.
     """
@@ -115,8 +112,7 @@
         self,
         *,
         parts: OwnerParts,
-        publish_load: Callable[[EndpointReport], None],
-        publish_state: Callable[[EndpointReport], None],
+        reports: ReportFeed,
         examine: Callable[[], None],
     ):
         self.parts = parts
@@ -125,16 +121,13 @@
         self.last_answer_ms = 0.0
         self.stopping = False
         self.broken_fingerprints: dict[str, float] = {}
-        self._publish_load = publish_load
-        self._publish_state = publish_state
+        self._reports = reports
         self._examine = examine
         self._failures = FailureShare()
         self._breaker = Breaker()
         self._ticket_ids = itertools.count(1)
         self._waiting_by_id: dict[int, _Waiting] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._reported: EndpointReport | None = None
-        self._reported_at_ms = 0.0
         self._state = EndpointState.UNKNOWN
 
     def report(self) -> EndpointReport:
@@ -179,7 +172,7 @@
             self._state = state
             if state is EndpointState.DOWN:
                 self.parts.pool.close_all()
-            self._publish_state(self._make_report(now_ms=now_ms))
+            self._reports.publish_state(self.report(), now_ms=now_ms)
         self._pump()
 
     def _consider_failures(
@@ -235,7 +228,7 @@
             self._breaker.end(ticket.id, succeeded=succeeded, now_ms=self._now_ms())
             admission.end(self.admission, ticket, latency_ms=latency_ms)
             self._pump()
-            self._publish_if_changed()
+            self._reports.publish_load(self.report(), now_ms=self._now_ms())
         _log.info(
             "call",
             request_id=call.request_id,
@@ -276,7 +269,7 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_id[ticket.id] = _Waiting(ticket=ticket, admitted=future)
         self._pump()
-        self._publish_if_changed()
+        self._reports.publish_load(self.report(), now_ms=self._now_ms())
         try:
             return await future
         except asyncio.CancelledError:
@@ -450,23 +443,5 @@
     def _record(self, *, failed: bool) -> None:
         self._failures.record(failed=failed, now_ms=self._now_ms())
 
-    def _publish_if_changed(self) -> None:
-        now_ms = self._now_ms()
-        before = self._reported
-        if before is None or now_ms - self._reported_at_ms < REPORT_INTERVAL_MS:
-            return
-        load = len(self.admission.running) + len(self.admission.waiting)
-        moved = abs(load - before.in_flight - before.waiting)
-        step = max(1.0, REPORT_OCCUPANCY_STEP * self.admission.limit)
-        slower = self.speed_percent > REPORT_SPEED_RATIO * before.speed_percent
-        faster = before.speed_percent > REPORT_SPEED_RATIO * self.speed_percent
-        if moved >= step or slower or faster:
-            self._publish_load(self._make_report(now_ms=now_ms))
-
-    def _make_report(self, *, now_ms: float) -> EndpointReport:
-        self._reported = self.report()
-        self._reported_at_ms = now_ms
-        return self._reported
-
     def _now_ms(self) -> float:
         return self.parts.clock.now_ms()
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
@@ -0,0 +1,135 @@
+"""What becomes of one request at its ingress, and the messages made from it."""
+
+import dataclasses
+
+from vanillapitch_wire.relay import Call, EndpointReport, HeaderField
+
+from vanillapitch_relay.http_answers import strip_hop_headers
+from vanillapitch_relay.http_client import HttpRequest
+from vanillapitch_relay.model import EndpointState, HeaderNames, Route
+from vanillapitch_relay.ranking import Candidate
+
+__all__ = ["Progress", "make_call", "make_candidate"]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Progress:
+    """What became of one request so far.
+
+    Attributes
+    ----------
+    request : HttpRequest
+        The request.
+    route : Route
+        Its route.
+    service : str
+        Service that the weights chose.
+    request_id : str
+        Id of the attempt.
+    fingerprint : str
+        Identity across attempts.
+    arrived_ms, deadline_ms : float
+        Monotonic times.
+    asked : set of str
+        Owners asked so far.
+    arrivals : int
+        Endpoints that may have received it.
+    may_have_run : bool
+        Whether an endpoint may have run it.
+    refusals : int
+        Owners that refused it.
+    under_way : bool
+        Whether an owner has it now.
+    """
+
+    request: HttpRequest
+    route: Route
+    service: str
+    request_id: str
+    fingerprint: str
+    arrived_ms: float
+    deadline_ms: float
+    asked: set[str] = dataclasses.field(default_factory=set)
+    arrivals: int = 0
+    may_have_run: bool = False
+    refusals: int = 0
+    under_way: bool = False
+
+
+def make_call(
+    progress: Progress, *, names: HeaderNames, caller_service: str, now_ms: float
+) -> Call:
+    """Build the call that an owner gets.
+
+    Parameters
+    ----------
+    progress : Progress
+        The request.
+    names : HeaderNames
+        Headers that the daemon sets itself.
+    caller_service : str
+        Service on the VM of the caller.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Call
+        The call; its link numbers it.
+    """
+    replaced = (names.deadline, names.expected_instance, names.caller_service)
+    headers = [
+        HeaderField(name=name.decode("latin-1"), value=value.decode("latin-1"))
+        for name, value in strip_hop_headers(progress.request.headers)
+        if name not in replaced
+    ]
+    caller_header = names.caller_service.decode("latin-1")
+    headers.append(HeaderField(name=caller_header, value=caller_service))
+    objective_ms = progress.arrived_ms + progress.route.objective_ms - now_ms
+    return Call(
+        id=0,
+        request_id=progress.request_id,
+        service_name=progress.service,
+        method=progress.request.method,
+        target=progress.request.target,
+        headers=headers,
+        body=progress.request.body,
+        remaining_ms=int(progress.deadline_ms - now_ms),
+        objective_ms=int(objective_ms),
+        priority=progress.route.priority,
+        idempotent=progress.route.idempotent,
+        fingerprint=progress.fingerprint,
+    )
+
+
+def make_candidate(
+    node: str, zone: str, report: EndpointReport, *, now_ms: float
+) -> Candidate:
+    """Describe an endpoint by its owner's report.
+
+    Parameters
+    ----------
+    node, zone : str
+        The owner and its availability zone.
+    report : EndpointReport
+        Its last report.
+    now_ms : float
+        When the report arrived.
+
+    Returns
+    -------
+    Candidate
+        The endpoint.
+    """
+    return Candidate(
+        node=node,
+        zone=zone,
+        state=EndpointState(report.state),
+        limit=report.limit,
+        in_flight=report.in_flight,
+        waiting=report.waiting,
+        sent_since_report=0,
+        speed_percent=report.speed_percent,
+        failure_percent=report.failure_percent,
+        reported_at_ms=now_ms,
+    )
