--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -89,12 +89,6 @@
     revision: Callable[[], int]
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
-class _Waiting:
-    ticket: CallTicket
-    admitted: asyncio.Future
-
-
 class Owner:
     """Admits calls to the endpoint and carries them out.
 
@@ -118,7 +112,6 @@
         self.parts = parts
         self.admission = AdmissionState()
         self.speed_percent = 100
-        self.last_answer_ms = 0.0
         self.stopping = False
         self.broken_fingerprints: dict[str, float] = {}
         self._reports = reports
@@ -126,7 +119,7 @@
         self._failures = FailureShare()
         self._breaker = Breaker()
         self._ticket_ids = itertools.count(1)
-        self._waiting_by_id: dict[int, _Waiting] = {}
+        self._admitted_by_id: dict[int, asyncio.Future] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._state = EndpointState.UNKNOWN
 
@@ -267,7 +260,7 @@
 
     async def _wait(self, ticket: CallTicket) -> RefusalReason | None:
         future = asyncio.get_running_loop().create_future()
-        self._waiting_by_id[ticket.id] = _Waiting(ticket=ticket, admitted=future)
+        self._admitted_by_id[ticket.id] = future
         self._pump()
         self._reports.publish_load(self.report(), now_ms=self._now_ms())
         try:
@@ -279,7 +272,7 @@
                 self._pump()
             raise
         finally:
-            self._waiting_by_id.pop(ticket.id, None)
+            self._admitted_by_id.pop(ticket.id, None)
 
     def _pump(self) -> None:
         now_ms = self._now_ms()
@@ -293,9 +286,9 @@
         self._arm_timer(now_ms=now_ms)
 
     def _settle(self, ticket: CallTicket, reason: RefusalReason | None) -> None:
-        waiting = self._waiting_by_id.get(ticket.id)
-        if waiting is not None and not waiting.admitted.done():
-            waiting.admitted.set_result(reason)
+        admitted = self._admitted_by_id.get(ticket.id)
+        if admitted is not None and not admitted.done():
+            admitted.set_result(reason)
 
     def _arm_timer(self, *, now_ms: float) -> None:
         if self._timer is not None:
@@ -407,7 +400,6 @@
         if figures is None:
             _log.warning("load_unreadable", value=value.decode("latin-1"))
             return
-        self.last_answer_ms = self._now_ms()
         self.speed_percent = figures.speed_percent
 
     def _refuse(
