Drop an unused clock and export what other modules use

Found by reading the change once more: the store session held a clock it never asked, wait_limit_ms was used outside of admission without being exported, and tests took Refusal from a private module. Behaviour is the same; the tests of the relay, the adapter and the platform's processes pass, and make check.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -18,6 +18,7 @@
     "expire",
     "next_event_ms",
     "offer",
+    "wait_limit_ms",
     "withdraw",
 ]
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -168,7 +168,6 @@
             store=store,
             keys=dialect.keys,
             settings=settings,
-            clock=clock,
             configuration=self._configuration,
             metrics=self._metrics,
             on_members=self._hub.set_listed,
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/store_session.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/store_session.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 import msgspec
-from vanillapitch_core.clock import Clock
 from vanillapitch_store.exceptions import (
     StoreCompacted,
     StoreError,
@@ -79,8 +78,6 @@
         Where things are.
     settings : Settings
         This daemon.
-    clock : Clock
-        Source of time.
     configuration : ConfigurationState
         Takes what operators wrote.
     metrics : Metrics
@@ -95,7 +92,6 @@
         store: AsyncKeyValueStore,
         keys: StoreKeys,
         settings: Settings,
-        clock: Clock,
         configuration: ConfigurationState,
         metrics: Metrics,
         on_members: Callable[[dict[str, MemberInfo]], None],
@@ -104,7 +100,6 @@
         self._store = store
         self._keys = keys
         self._settings = settings
-        self._clock = clock
         self._configuration = configuration
         self._metrics = metrics
         self._on_members = on_members
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -4,8 +4,7 @@
 import time
 
 import pytest
-from vanillapitch_testbed.platform_standins import ServiceSpec, send_request
-from vanillapitch_testbed.platform_standins._store import Refusal
+from vanillapitch_testbed.platform_standins import Refusal, ServiceSpec, send_request
 
 TWO_ZONES = (ServiceSpec(name="shop", zones=("a", "b"), slots=8),)
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_demo.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_demo.py
@@ -16,11 +16,11 @@
 
 from vanillapitch_testbed.platform_standins import (
     CallerAnswer,
+    Refusal,
     ServiceSpec,
     send_request,
 )
 from vanillapitch_testbed.platform_standins._processes import ProcessFleet
-from vanillapitch_testbed.platform_standins._store import Refusal
 
 __all__ = ["Promises", "main", "run_demo"]
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
@@ -14,12 +14,17 @@
     StandInFleet,
     make_configuration,
 )
-from vanillapitch_testbed.platform_standins._store import StoreFaults, StoreStandIn
+from vanillapitch_testbed.platform_standins._store import (
+    Refusal,
+    StoreFaults,
+    StoreStandIn,
+)
 
 __all__ = [
     "CallerAnswer",
     "EndpointFaults",
     "EndpointStandIn",
+    "Refusal",
     "Run",
     "ServiceSpec",
     "StandInFleet",
