Read the store once at the start and go on with the lease of the process before

Cause: a restarted daemon met its own key of the process before, wrote with the wrong condition, read again and wrote again: seven calls a restart. The watches of two daemons a zone were most of the rest on a small fleet.

Now one read shows configuration, members and the mark of an acknowledged leaving; a key of the same content is kept and its lease renewed, at a tenth of a call. One daemon of a zone follows the store, two where there is only one zone.

Ruled out: a lease on the marks instead of removing them. The store may take leased keys away from a daemon that it turns away, and the next process would use a leaving endpoint.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -120,7 +120,11 @@
 
     async def _store_departure(self) -> None:
         belief = self._owner.parts.belief
-        mark = DepartureMark(instance=belief.left_instance, born_ms=belief.left_born_ms)
+        mark = DepartureMark(
+            instance=belief.left_instance,
+            born_ms=belief.left_born_ms,
+            stored_ms=self._owner.parts.clock.wall_ms(),
+        )
         try:
             async with asyncio.timeout(STORE_WAIT_MS / 1_000.0):
                 await self._departures.write(mark)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -7,12 +7,13 @@
 
 from vanillapitch_core.clock import Clock, SystemClock
 from vanillapitch_store.exceptions import StoreError
+from vanillapitch_store.model import PrefixResult
 from vanillapitch_wire.relay import MemberInfo
 
 from vanillapitch_relay.announcements import AnnouncementReceiver
 from vanillapitch_relay.configuration_follower import ConfigurationFollower
 from vanillapitch_relay.configuration_state import ConfigurationState
-from vanillapitch_relay.departure_store import DepartureStore
+from vanillapitch_relay.departure_store import DepartureMark, DepartureStore
 from vanillapitch_relay.endpoint_monitor import EndpointMonitor
 from vanillapitch_relay.endpoint_pool import EndpointPool
 from vanillapitch_relay.endpoint_state import EndpointBelief, apply_departure_mark
@@ -55,7 +56,8 @@
 LAST_ANSWERS_MS = 100.0
 # Answers are written and the process ends within this time before the kill.
 STOP_MARGIN_MS = 400.0
-DEPARTURE_RETRY_MS = 300.0
+# While the store is away. Calls to a store that is down are paid for too.
+START_RETRY_MS = 300.0
 BACKLOG = 1_024
 
 
@@ -134,6 +136,7 @@
         self.settings = settings
         self._dialect = dialect
         self._clock = clock
+        self._store = store
         self._writer = writer
         self._reload = reload
         self.started = asyncio.Event()
@@ -185,7 +188,9 @@
         )
         self._departures = DepartureStore(
             store=store,
-            key=dialect.keys.departures_prefix + settings.node,
+            prefix=dialect.keys.departures_prefix,
+            node=settings.node,
+            clock=clock,
             reach=self._reach,
         )
         self._reach.on_change = self._on_reach
@@ -262,10 +267,8 @@
         loop = asyncio.get_running_loop()
         await self._listen()
         for job in (
-            self._registration.run(),
-            self._follower.run(),
+            self._use_store(),
             self._monitor.run(),
-            self._learn_departure(),
             self._upkeep(),
         ):
             task = loop.create_task(job)
@@ -369,23 +372,35 @@
     def _examine(self) -> None:
         self._monitor.examine()
 
-    async def _learn_departure(self) -> None:
-        """Ask the store once what an earlier process acknowledged."""
+    async def _use_store(self) -> None:
+        """Read once what the store holds, then stay registered and follow it."""
+        start = await self._read_store()
+        self._learn_departure(self._departures.find(start.entries))
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._registration.run(start))
+            group.create_task(self._follower.run(start))
+            group.create_task(self._departures.remove_old(start.entries))
+
+    async def _read_store(self) -> PrefixResult:
         while True:
             try:
-                mark = await self._departures.read()
+                start = await self._store.get_prefix(self._dialect.keys.shared_prefix)
             except StoreError as error:
-                _log.info("departure_unknown", reason=str(error))
-                await asyncio.sleep(DEPARTURE_RETRY_MS / 1_000.0)
+                self._reach.note_failure("start", error)
+                await asyncio.sleep(START_RETRY_MS / 1_000.0)
                 continue
-            apply_departure_mark(
-                self._owner.parts.belief,
-                instance="" if mark is None else mark.instance,
-                born_ms=-1 if mark is None else mark.born_ms,
-            )
-            self._owner.refresh()
-            self._examine()
-            return
+            self._reach.note_answer("get_prefix")
+            return start
+
+    def _learn_departure(self, mark: DepartureMark | None) -> None:
+        """Apply what an earlier process acknowledged."""
+        apply_departure_mark(
+            self._owner.parts.belief,
+            instance="" if mark is None else mark.instance,
+            born_ms=-1 if mark is None else mark.born_ms,
+        )
+        self._owner.refresh()
+        self._examine()
 
     async def _upkeep(self) -> None:
         while True:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
@@ -9,7 +9,7 @@
 import random
 
 from vanillapitch_store.exceptions import StoreCompacted, StoreError
-from vanillapitch_store.model import Entry, EventKind, WatchEvent
+from vanillapitch_store.model import Entry, EventKind, PrefixResult, WatchEvent
 
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.line_log import EventLog
@@ -33,7 +33,7 @@
 
 
 class ConfigurationFollower:
-    """Task that reads the operators' keys once and watches them while it is due.
+    """Task that watches the operators' keys while it is due.
 
     Parameters
     ----------
@@ -86,20 +86,29 @@
         if not self._reach.is_reachable:
             self._lost.set()
 
-    async def run(self) -> None:
-        """Read everything, then watch while it is due, until cancelled."""
+    async def run(self, start: PrefixResult) -> None:
+        """Watch while it is due, until cancelled.
+
+        Parameters
+        ----------
+        start : PrefixResult
+            What the store held when the process started.
+        """
         retry_ms = RETRY_MIN_MS
-        settle_ms = SETTLE_MS
+        revision = self._take_all(start)
+        await asyncio.sleep(SETTLE_MS / 1_000.0)
         while True:
             try:
-                revision = await self._read_all()
-                retry_ms = RETRY_MIN_MS
-                await asyncio.sleep(settle_ms / 1_000.0)
-                settle_ms = 0.0
+                if revision is None:
+                    revision = await self._read_all()
+                    retry_ms = RETRY_MIN_MS
                 await self._watch_from(revision)
+                revision = None
             except StoreCompacted as error:
                 _log.info("watch_compacted", reason=str(error))
+                revision = None
             except StoreError as error:
+                revision = None
                 self._reach.note_failure("follow", error)
                 await asyncio.sleep(retry_ms * random.uniform(0.7, 1.0) / 1_000.0)
                 retry_ms = min(RETRY_MAX_MS, 2.0 * retry_ms)
@@ -107,7 +116,14 @@
     async def _read_all(self) -> int:
         result = await self._store.get_prefix(self._keys.operator_prefix)
         self._reach.note_answer("get_prefix")
-        self._entries_by_key = {entry.key: entry for entry in result.entries}
+        return self._take_all(result)
+
+    def _take_all(self, result: PrefixResult) -> int:
+        self._entries_by_key = {
+            entry.key: entry
+            for entry in result.entries
+            if entry.key.startswith(self._keys.operator_prefix)
+        }
         self._apply(read_revision=result.revision, changed_revision=result.revision)
         return result.revision
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -34,9 +34,10 @@
 # A daemon that is no longer listed is dialled for this long, so that it is found again
 # after an outage of the store; afterwards it counts as gone.
 UNLISTED_MS = 10_000.0
-# Daemons of an availability zone that watch the store. With two, the loss of one delays
-# no change; the other zones are a second way.
-FOLLOWERS_PER_ZONE = 2
+# Daemons that watch the store: one of each availability zone, two where there is only
+# one. The loss of one delays no change, because the other zones are a second way.
+FOLLOWERS_PER_ZONE = 1
+FOLLOWERS_MIN = 2
 # A daemon asks for a change when one of its own availability zone announces it. Bytes
 # between zones are paid for, so it asks another one only after this time.
 OTHER_ZONE_DELAY_MS = 150.0
@@ -167,16 +168,15 @@
     def is_follower(self) -> bool:
         """Tell whether this daemon is one of those that watch the store.
 
-        They are the first of its availability zone, by name, that reach the store.
+        They are the first ones, by name, that reach the store.
         """
-        ahead = sum(
-            link.is_up
-            and link.store_reachable
-            and link.member.zone == self._member.zone
-            and node < self._member.node
+        ahead = [
+            link.member.zone
             for node, link in self.links_by_node.items()
-        )
-        return ahead < FOLLOWERS_PER_ZONE
+            if node < self._member.node and link.is_up and link.store_reachable
+        ]
+        is_first_of_zone = ahead.count(self._member.zone) < FOLLOWERS_PER_ZONE
+        return is_first_of_zone or len(ahead) < FOLLOWERS_MIN
 
     def publish_reach(self) -> None:
         """Tell all peers at once whether the store answers this daemon."""
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -212,6 +212,8 @@
 
     Attributes
     ----------
+    shared_prefix : str
+        One prefix of all keys below; read once at the start.
     operator_prefix : str
         One prefix of everything that operators write; watched.
     configuration : str
@@ -224,6 +226,7 @@
         A key per VM follows.
     """
 
+    shared_prefix: str
     operator_prefix: str
     configuration: str
     zones_out_prefix: str
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -1,9 +1,10 @@
 """Membership through the platform's store: one leased key per daemon.
 
-A daemon writes its key before it reads the others'. Of two daemons that start at once,
-the later writer therefore reads the key of the other and dials it, and whom it dials
-dials back. No watch is needed; a cheap read from time to time finds daemons that were
-cut off from this one for longer than a link is kept.
+A process that starts again finds the key of the one before and goes on with its lease.
+Otherwise a daemon writes its key before it reads the others'. Of two daemons that start
+at once, the later writer therefore reads the key of the other and dials it, and whom it
+dials dials back. No watch is needed; a cheap read from time to time finds daemons that
+were cut off from this one for longer than a link is kept.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 import msgspec
 from vanillapitch_core.clock import Clock
 from vanillapitch_store.exceptions import StoreError, StoreLeaseNotFound
-from vanillapitch_store.model import Entry, Put, mod_revision_is
+from vanillapitch_store.model import Entry, PrefixResult, Put, mod_revision_is
 from vanillapitch_wire.relay import MemberInfo
 
 from vanillapitch_relay.line_log import EventLog
@@ -90,12 +91,19 @@
         # Revision of the own key as last written or read; 0 while it is absent.
         self._own_revision = 0
         self._is_listed = False
-        self._listed_at_ms = 0.0
-        self._members_due_ms = 0.0
+        self._listed_at_ms = -STALE_READ_AGE_MS
+        self._members_due_ms = clock.now_ms() + MEMBERS_INTERVAL_MS
         self._stopping = False
 
-    async def run(self) -> None:
-        """Renew the lease and read the members from time to time, until cancelled."""
+    async def run(self, start: PrefixResult) -> None:
+        """Renew the lease and read the members from time to time, until cancelled.
+
+        Parameters
+        ----------
+        start : PrefixResult
+            What the store held when the process started.
+        """
+        self._take_over(start)
         while not self._stopping:
             try:
                 await self._renew()
@@ -125,6 +133,16 @@
         else:
             self._reach.note_answer("end_lease")
 
+    def _take_over(self, start: PrefixResult) -> None:
+        """Go on with the key and the lease of an earlier process on this VM."""
+        self._on_members(self._decode_members(start.entries))
+        for entry in start.entries:
+            if entry.key == self._own_key:
+                self._own_revision = entry.mod_revision
+                self._lease_id = entry.lease_id
+                self._is_listed = entry.value == self._own_value
+                _log.info("lease_taken_over", lease=entry.lease_id)
+
     async def _renew(self) -> None:
         if self._lease_id:
             await self._store.keep_alive(self._lease_id)
@@ -190,6 +208,8 @@
     def _decode_members(self, entries: Iterable[Entry]) -> dict[str, MemberInfo]:
         members_by_node = {}
         for entry in entries:
+            if not entry.key.startswith(self._prefix):
+                continue
             node = entry.key.removeprefix(self._prefix)
             try:
                 value = msgspec.json.decode(entry.value, type=_MemberValue)
--- a/packages/vanillapitch-relay/tests/test_store_economy.py
+++ b/packages/vanillapitch-relay/tests/test_store_economy.py
@@ -1,11 +1,14 @@
 """How few calls to the store keep all daemons up to date, and who takes over."""
 
 import asyncio
+import time
 import zlib
 
+import msgspec
 from vanillapitch_adapter.main import DIALECT
 from vanillapitch_relay import registration
 from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.departure_store import REMOVED_AT_ONCE
 from vanillapitch_testbed.platform_standins import (
     Refusal,
     ServiceSpec,
@@ -59,6 +62,49 @@
     assert calls["kv-range"] == 2
 
 
+def test_a_restart_goes_on_with_the_lease(run_fleet):
+    # Seen on hanul-mesh-grown trouble-1: each restart found its old key in the way and
+    # took seven calls.
+    async def scenario(fleet):
+        await asyncio.sleep(0.6)
+        vm = fleet.vms[5]
+        await fleet.kill_daemon(vm)
+        fleet.store.calls_by_path.clear()
+        await fleet.start_daemon(vm)
+        await fleet.wait_until_connected()
+        await asyncio.sleep(0.5)
+        return dict(fleet.store.calls_by_path), fleet.store.keys("owners/")
+
+    calls, keys = run_fleet(scenario, services=ONE_ZONE)
+    # Renewals cost a tenth of a call; the watches are those of the followers.
+    calls.pop("kv-watch", None)
+    assert set(calls) <= {"kv-range", "kv-keep"}
+    assert calls["kv-range"] == 1
+    assert len(keys) == 8
+
+
+def test_old_marks_of_other_vms_are_removed(run_fleet):
+    # Guards against marks of VMs that are gone, which every start would read.
+    async def scenario(fleet):
+        old = msgspec.json.encode({"instance": "i-0", "born_ms": 1, "stored_ms": 2})
+        for number in range(REMOVED_AT_ONCE + 3):
+            fleet.store.put(f"outgoing/gone-{number}", old)
+        new = msgspec.json.encode(
+            {"instance": "i-9", "born_ms": 1, "stored_ms": time.time_ns() // 1_000_000}
+        )
+        fleet.store.put("outgoing/fresh", new)
+        fleet.store.put("outgoing/unreadable", b"{")
+        vm = fleet.vms[0]
+        await fleet.kill_daemon(vm)
+        await fleet.start_daemon(vm)
+        await asyncio.sleep(0.4)
+        return fleet.store.keys("outgoing/")
+
+    keys = run_fleet(scenario)
+    assert len(keys) == 3 + 2
+    assert {"outgoing/fresh", "outgoing/unreadable"} <= set(keys)
+
+
 def test_another_daemon_takes_over_from_followers_that_are_killed(run_fleet):
     # Guards against a zone that hears of no change when those that watch are gone.
     async def scenario(fleet):
