Prefer calls that can still be on time, and count objectives from the first attempt

Cause: the queue of an owner served the earliest objective first and let calls wait for half of it. Requests that came back after a refusal counted as new.

Owners now learn how long the runs of each route take. A call that will usually be late goes last in its priority, and no call waits longer than it can afford before its run. The ingress takes the time that passed since a caller's first attempt from the deadline that it names. Calls that a run beside the daemon makes go first; their id names it.

test_the_route_time_out_gives_an_answer failed once beside 14 busy processes and passed in six runs alone; not traced yet.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -28,8 +28,10 @@
 # Share of what is left of the latency objective that a call may wait; beyond it another
 # endpoint or a refusal serves the caller better.
 WAIT_SHARE = 0.5
-# The same for a call that is already late, as a share of the time to its deadline.
-LATE_WAIT_SHARE = 0.25
+# A call that could hardly be on time waits this long at most, for a place that is
+# becoming free; beyond it, it would hold the place of one that can be on time.
+MIN_WAIT_SHARE = 0.1
+MIN_WAIT_MS = 10.0
 # Queue length as a multiple of the limit.
 QUEUE_LIMIT_FACTOR = 2
 LATENCY_WEIGHT = 0.1
@@ -66,14 +68,18 @@
         Unique at this owner.
     priority : int
         0 is the highest.
+    is_late : bool
+        Whether its latency objective will usually have passed when it is answered.
+        Such calls of a priority go last.
     due_ms : float
-        When its latency objective passes; the earliest of a priority goes first.
+        When its latency objective passes; the earliest goes first.
     wait_until_ms : float
         When it is refused if it still waits.
     """
 
     id: int
     priority: int
+    is_late: bool
     due_ms: float
     wait_until_ms: float
 
@@ -132,7 +138,9 @@
         return now_ms < self.cold_until_ms
 
 
-def wait_limit_ms(*, objective_ms: float, remaining_ms: float) -> float:
+def wait_limit_ms(
+    *, objective_ms: float, remaining_ms: float, usual_ms: float
+) -> float:
     """Return how long a call may wait for the endpoint.
 
     Parameters
@@ -141,15 +149,17 @@
         What is left of its latency objective; may be negative.
     remaining_ms : float
         What is left until its deadline.
+    usual_ms : float
+        Execution time of such calls.
 
     Returns
     -------
     float
         Milliseconds.
     """
-    if objective_ms > 0.0:
-        return min(WAIT_SHARE * objective_ms, remaining_ms)
-    return LATE_WAIT_SHARE * max(0.0, remaining_ms)
+    useful_ms = min(WAIT_SHARE * objective_ms, objective_ms - usual_ms)
+    least_ms = max(MIN_WAIT_SHARE * objective_ms, MIN_WAIT_MS)
+    return max(0.0, min(max(useful_ms, least_ms), remaining_ms))
 
 
 def estimate_wait_ms(state: AdmissionState, ticket: CallTicket) -> float:
@@ -286,5 +296,5 @@
         state.sent_at_ms.popleft()
 
 
-def _rank(ticket: CallTicket) -> tuple[int, float]:
-    return (ticket.priority, ticket.due_ms)
+def _rank(ticket: CallTicket) -> tuple[int, bool, float]:
+    return (ticket.priority, ticket.is_late, ticket.due_ms)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -26,6 +26,7 @@
 from vanillapitch_relay.quarantine import Quarantine
 from vanillapitch_relay.ranking import order_candidates
 from vanillapitch_relay.retry_budget import SharedRetryBudget
+from vanillapitch_relay.route_times import RouteDeadlines
 from vanillapitch_relay.routing import WeightedChoice
 
 __all__ = ["Ingress"]
@@ -94,6 +95,7 @@
         self._budget = budget
         self._metrics = metrics
         self._weights = WeightedChoice()
+        self._deadlines = RouteDeadlines()
         self._rng = random.Random()
         self.in_flight = 0
 
@@ -174,12 +176,23 @@
     ) -> Progress:
         host = find_header(request.headers, b"host") or b""
         service = self._weights.choose(route)
+        request_id = self._request_id(request)
         self._budget.record_request(service, now_ms=arrived_ms)
+        is_made_by_run = self._owner.is_running(
+            self._dialect.find_caller_request(request_id)
+        )
+        elapsed_ms = 0.0
+        if not is_made_by_run:
+            elapsed_ms = self._deadlines.estimate_elapsed_ms(
+                route.name, remaining_ms=remaining_ms
+            )
         return Progress(
             request=request,
             route=route,
             service=service,
-            request_id=self._request_id(request),
+            request_id=request_id,
+            is_made_by_run=is_made_by_run,
+            due_ms=arrived_ms + route.objective_ms - elapsed_ms,
             fingerprint=compute_fingerprint(
                 method=request.method,
                 host=host.decode("latin-1"),
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -254,6 +254,8 @@
         Body of the answer to an announcement.
     decode_load : callable
         Header value to `LoadFigures`, or None when it cannot be read.
+    find_caller_request : callable
+        Id of an attempt to the id of the request whose run made it, or empty.
     """
 
     headers: HeaderNames
@@ -263,6 +265,7 @@
     decode_announcement: Callable[[str, bytes], Announcement | Departure]
     encode_acknowledgement: Callable[[], bytes]
     decode_load: Callable[[bytes], LoadFigures | None]
+    find_caller_request: Callable[[str], str]
 
 
 @_frozen
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -37,6 +37,7 @@
 from vanillapitch_relay.model import Dialect, Ending, EndpointState
 from vanillapitch_relay.quarantine import Quarantine
 from vanillapitch_relay.report_feed import ReportFeed
+from vanillapitch_relay.route_times import RunTimes
 
 __all__ = ["Owner", "OwnerParts"]
 
@@ -120,6 +121,8 @@
         self._breaker = Breaker()
         self._ticket_ids = itertools.count(1)
         self._admitted_by_id: dict[int, asyncio.Future] = {}
+        self._running_request_ids: set[str] = set()
+        self._run_times = RunTimes()
         self._timer: asyncio.TimerHandle | None = None
         self._state = EndpointState.UNKNOWN
 
@@ -183,6 +186,10 @@
         """Whether a call runs or waits."""
         return bool(self.admission.running or self.admission.waiting)
 
+    def is_running(self, request_id: str) -> bool:
+        """Tell whether a request is at the endpoint."""
+        return request_id in self._running_request_ids
+
     async def run(self, call: Call, *, source: str) -> Reply:
         """Carry out a call; cancelling ends its work at the endpoint.
 
@@ -211,13 +218,16 @@
         latency_ms = None
         succeeded = None
         self._breaker.start(ticket.id, now_ms=sent_ms)
+        self._running_request_ids.add(call.request_id)
         try:
             reply = await self._send(call, arrived_ms=arrived_ms)
             if reply.ending == Ending.ANSWERED:
                 latency_ms = self._now_ms() - sent_ms
+                self._run_times.record(call.route_name, latency_ms)
             if reply.ending != Ending.REFUSED:
                 succeeded = 0 < reply.status < 500
         finally:
+            self._running_request_ids.discard(call.request_id)
             self._breaker.end(ticket.id, succeeded=succeeded, now_ms=self._now_ms())
             admission.end(self.admission, ticket, latency_ms=latency_ms)
             self._pump()
@@ -239,12 +249,16 @@
         return reply
 
     def _make_ticket(self, call: Call, *, now_ms: float) -> CallTicket:
+        usual_ms = self._run_times.usual_ms(call.route_name)
         wait_ms = admission.wait_limit_ms(
-            objective_ms=call.objective_ms, remaining_ms=call.remaining_ms
+            objective_ms=call.objective_ms,
+            remaining_ms=call.remaining_ms,
+            usual_ms=usual_ms,
         )
         return CallTicket(
             id=next(self._ticket_ids),
             priority=call.priority,
+            is_late=call.objective_ms < usual_ms,
             due_ms=now_ms + call.objective_ms,
             wait_until_ms=now_ms + wait_ms,
         )
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
@@ -11,6 +11,9 @@
 
 __all__ = ["Progress", "make_call", "make_candidate"]
 
+# Before all routes: when such a call fails, the work of the run that made it is lost.
+MADE_BY_RUN_PRIORITY = -1
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Progress:
@@ -28,8 +31,11 @@
         Id of the attempt.
     fingerprint : str
         Identity across attempts.
-    arrived_ms, deadline_ms : float
-        Monotonic times.
+    arrived_ms, deadline_ms, due_ms : float
+        Monotonic times of its arrival, its deadline and the end of its latency
+        objective.
+    is_made_by_run : bool
+        Whether a run at the endpoint on this VM made it.
     asked : set of str
         Owners asked so far.
     arrivals : int
@@ -49,6 +55,8 @@
     fingerprint: str
     arrived_ms: float
     deadline_ms: float
+    due_ms: float
+    is_made_by_run: bool
     asked: set[str] = dataclasses.field(default_factory=set)
     arrivals: int = 0
     may_have_run: bool = False
@@ -85,7 +93,9 @@
     ]
     caller_header = names.caller_service.decode("latin-1")
     headers.append(HeaderField(name=caller_header, value=caller_service))
-    objective_ms = progress.arrived_ms + progress.route.objective_ms - now_ms
+    priority = progress.route.priority
+    if progress.is_made_by_run:
+        priority = MADE_BY_RUN_PRIORITY
     return Call(
         id=0,
         request_id=progress.request_id,
@@ -95,10 +105,11 @@
         headers=headers,
         body=progress.request.body,
         remaining_ms=int(progress.deadline_ms - now_ms),
-        objective_ms=int(objective_ms),
-        priority=progress.route.priority,
+        objective_ms=int(progress.due_ms - now_ms),
+        priority=priority,
         idempotent=progress.route.idempotent,
         fingerprint=progress.fingerprint,
+        route_name=progress.route.name,
     )
 
 
--- /dev/null
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/route_times.py
@@ -0,0 +1,70 @@
+"""Times per route that an ingress and an owner learn from the requests they see."""
+
+import dataclasses
+
+__all__ = ["RouteDeadlines", "RunTimes"]
+
+# Callers of one route were seen to wait for times that differ by this share.
+DEADLINE_SPREAD = 0.15
+# Weight of one run; twenty runs take part of a second at the users' load.
+RUN_WEIGHT = 0.05
+# Before the first run, milliseconds.
+INITIAL_RUN_MS = 50.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RouteDeadlines:
+    """How long the callers of each route wait.
+
+    A caller that comes back after a refusal names what is left of its time. Its latency
+    objective counts from its first attempt, which only this tells.
+
+    Attributes
+    ----------
+    longest_ms_by_route : dict of str to float
+        Longest time that a caller named.
+    """
+
+    longest_ms_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def estimate_elapsed_ms(self, route_name: str, *, remaining_ms: float) -> float:
+        """Estimate how long ago a caller sent the first attempt of a request.
+
+        Parameters
+        ----------
+        route_name : str
+            Its route.
+        remaining_ms : float
+            What the caller says is left.
+
+        Returns
+        -------
+        float
+            Milliseconds, at least; 0 for a first attempt.
+        """
+        longest_ms = max(self.longest_ms_by_route.get(route_name, 0.0), remaining_ms)
+        self.longest_ms_by_route[route_name] = longest_ms
+        return max(0.0, (1.0 - DEADLINE_SPREAD) * longest_ms - remaining_ms)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RunTimes:
+    """How long the runs of each route take at one endpoint.
+
+    Attributes
+    ----------
+    mean_ms_by_route : dict of str to float
+        Moving average.
+    """
+
+    mean_ms_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def record(self, route_name: str, duration_ms: float) -> None:
+        """Add a run that was answered."""
+        mean_ms = self.mean_ms_by_route.get(route_name, duration_ms)
+        mean_ms += RUN_WEIGHT * (duration_ms - mean_ms)
+        self.mean_ms_by_route[route_name] = mean_ms
+
+    def usual_ms(self, route_name: str) -> float:
+        """Return the usual time of a run."""
+        return self.mean_ms_by_route.get(route_name, INITIAL_RUN_MS)
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -17,6 +17,7 @@
     WeightedTarget,
 )
 from vanillapitch_relay.ranking import Candidate, order_candidates
+from vanillapitch_relay.route_times import RouteDeadlines, RunTimes
 from vanillapitch_relay.routing import RouteTable, WeightedChoice
 
 
@@ -154,9 +155,15 @@
     return AdmissionState(**{**fields, **changes})
 
 
-def make_ticket(number, *, priority=1, due_ms=300.0, wait_until_ms=1_000.0):
+def make_ticket(
+    number, *, priority=1, due_ms=300.0, wait_until_ms=1_000.0, is_late=False
+):
     return CallTicket(
-        id=number, priority=priority, due_ms=due_ms, wait_until_ms=wait_until_ms
+        id=number,
+        priority=priority,
+        is_late=is_late,
+        due_ms=due_ms,
+        wait_until_ms=wait_until_ms,
     )
 
 
@@ -188,6 +195,67 @@
     assert order == [52, 51, 50]
 
 
+def test_calls_that_will_be_late_go_after_those_that_can_be_on_time():
+    # Seen on ishikari-baling trouble-1: the earliest objective went first, so under
+    # overload a third of the answers came just after it.
+    state = make_state()
+    fill(state, state.limit)
+    for number, (priority, is_late, due_ms) in enumerate(
+        ((1, True, 20.0), (1, False, 300.0), (2, False, 50.0), (-1, True, 10.0))
+    ):
+        ticket = make_ticket(
+            50 + number, priority=priority, due_ms=due_ms, is_late=is_late
+        )
+        assert admission.offer(state, ticket, now_ms=0.0) is None
+    order = []
+    for number in range(4):
+        admission.end(state, make_ticket(number), latency_ms=50.0)
+        order.append(admission.admit_next(state, now_ms=1.0).id)
+    assert order == [53, 51, 50, 52]
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "remaining_ms", "usual_ms", "limit_ms"),
+    [
+        (600.0, 1_500.0, 100.0, 300.0),
+        (600.0, 1_500.0, 400.0, 200.0),
+        (600.0, 1_500.0, 580.0, 60.0),
+        (600.0, 40.0, 100.0, 40.0),
+        (-50.0, 900.0, 300.0, 10.0),
+        (-50.0, -5.0, 300.0, 0.0),
+    ],
+)
+def test_a_call_waits_while_it_can_still_be_on_time(
+    objective_ms, remaining_ms, usual_ms, limit_ms
+):
+    # Guards against calls that wait until their run must be late.
+    assert limit_ms == admission.wait_limit_ms(
+        objective_ms=objective_ms, remaining_ms=remaining_ms, usual_ms=usual_ms
+    )
+
+
+def test_the_objective_counts_from_the_first_attempt():
+    # Guards against repeats of callers that push new requests behind themselves.
+    deadlines = RouteDeadlines()
+    assert deadlines.estimate_elapsed_ms("r", remaining_ms=1_500.0) == 0.0
+    # Callers differ by 15 in 100, which must not be taken for a repeat.
+    assert deadlines.estimate_elapsed_ms("r", remaining_ms=1_280.0) == 0.0
+    assert deadlines.estimate_elapsed_ms("r", remaining_ms=775.0) == 500.0
+    assert deadlines.estimate_elapsed_ms("other", remaining_ms=775.0) == 0.0
+
+
+def test_run_times_are_learned_per_route():
+    # Guards against short calls whose expected time is that of long ones.
+    times = RunTimes()
+    assert times.usual_ms("long") == times.usual_ms("short")
+    for _ in range(100):
+        times.record("long", 400.0)
+        times.record("short", 20.0)
+    times.record("long", 600.0)
+    assert 400.0 < times.usual_ms("long") < 420.0
+    assert times.usual_ms("short") == pytest.approx(20.0)
+
+
 def test_a_call_that_would_wait_too_long_is_refused_at_once():
     # Guards against callers that are held although nothing can come of it.
     state = make_state(latency_ms=800.0)
--- a/packages/vanillapitch-relay/tests/test_path.py
+++ b/packages/vanillapitch-relay/tests/test_path.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from vanillapitch_testbed.platform_standins import send_request
+from vanillapitch_testbed.platform_standins import ServiceSpec, send_request
 
 
 def test_a_request_reaches_its_service_unchanged(run_fleet):
@@ -248,3 +248,37 @@
     assert 'vanillapitch_answers_total{origin="endpoint"} 1' in text
     assert 'vanillapitch_refusals_total{reason="no_route"} 1' in text
     assert "vanillapitch_latency_ms_bucket" in text
+
+
+def test_calls_of_a_run_go_before_new_work(run_fleet):
+    # Guards against a run that is lost because its call waits behind new requests.
+    async def scenario(fleet):
+        owner = fleet.vms[0]
+        full = [
+            asyncio.create_task(
+                fleet.call(f"/shop/{n}?work_ms=120", request_id=f"run-{n}")
+            )
+            for n in range(6)
+        ]
+        await fleet.wait_until(lambda: owner.endpoint.most_running == 6)
+        for n in range(3):
+            full.append(asyncio.create_task(fleet.call(f"/shop/new{n}")))
+        await asyncio.sleep(0.02)
+        parents = [run.request_id for run in owner.endpoint.runs]
+        full.append(
+            asyncio.create_task(
+                fleet.call("/shop/call", request_id=f"{parents[0]}.0123456789abcdef")
+            )
+        )
+        full.append(
+            asyncio.create_task(
+                fleet.call("/shop/other", request_id="unknown.0123456789abcdef")
+            )
+        )
+        await asyncio.gather(*full)
+        return [run.target for run in owner.endpoint.runs[6:]]
+
+    one_shop = (ServiceSpec(name="shop", zones=("a",), slots=8),)
+    order = run_fleet(scenario, services=one_shop)
+    assert order[0] == "/shop/call"
+    assert "/shop/other" in order
--- a/packages/vanillapitch-wire/idl/relay.thrift
+++ b/packages/vanillapitch-wire/idl/relay.thrift
@@ -51,9 +51,10 @@
   7: required binary body;
   8: required i32 remaining_ms;   // until the deadline
   9: required i32 objective_ms;   // left of the latency objective; may be negative
-  10: required i32 priority;      // 0 is the highest
+  10: required i32 priority;      // 0 is the highest of routes; below: made by a run
   11: required bool idempotent;
   12: required string fingerprint;
+  13: required string route_name;
 }
 
 struct Reply {
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
@@ -644,6 +644,7 @@
      - priority
      - idempotent
      - fingerprint
+     - route_name
 
     """
 
@@ -660,10 +661,11 @@
         'priority',
         'idempotent',
         'fingerprint',
+        'route_name',
     )
 
 
-    def __init__(self, id=None, request_id=None, service_name=None, method=None, target=None, headers=None, body=None, remaining_ms=None, objective_ms=None, priority=None, idempotent=None, fingerprint=None,):
+    def __init__(self, id=None, request_id=None, service_name=None, method=None, target=None, headers=None, body=None, remaining_ms=None, objective_ms=None, priority=None, idempotent=None, fingerprint=None, route_name=None,):
         self.id = id
         self.request_id = request_id
         self.service_name = service_name
@@ -676,6 +678,7 @@
         self.priority = priority
         self.idempotent = idempotent
         self.fingerprint = fingerprint
+        self.route_name = route_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -752,6 +755,11 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -813,6 +821,10 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 12)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 13)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -841,6 +853,8 @@
             raise TProtocolException(message='Required field idempotent is unset!')
         if self.fingerprint is None:
             raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.route_name is None:
+            raise TProtocolException(message='Required field route_name is unset!')
         return
 
     def __repr__(self):
@@ -1725,6 +1739,7 @@
     (10, TType.I32, 'priority', None, None, ),  # 10
     (11, TType.BOOL, 'idempotent', None, None, ),  # 11
     (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'route_name', 'UTF8', None, ),  # 13
 )
 all_structs.append(Reply)
 Reply.thrift_spec = (
