--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -274,6 +274,7 @@
             now_ms=now_ms,
             rng=self._rng,
             may_try_failing=progress.route.idempotent and not progress.asked,
+            body_bytes=len(progress.request.body),
         )
         return order[0] if order else None
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
@@ -12,6 +12,10 @@
 # Moving between availability zones costs about 1 ms and is paid per byte; a busier
 # endpoint nearby is preferred up to this difference in cost.
 OTHER_ZONE_COST = 0.25
+# A body of 60 KB, the users' usual upload, costs a sixth of its worth between zones. It
+# goes there only when the endpoints nearby are slow or full.
+OTHER_ZONE_COST_PER_MB = 16.0
+BYTES_PER_MB = 1_000_000
 # The speed of a VM changes about every 300 ms; an old figure approaches the mean.
 SPEED_HALF_LIFE_MS = 150.0
 MEAN_SPEED = 1.75
@@ -72,6 +76,7 @@
     now_ms: float,
     rng: random.Random,
     may_try_failing: bool = False,
+    body_bytes: int = 0,
 ) -> list[str]:
     """Order the usable endpoints, the best first.
 
@@ -87,17 +92,24 @@
         Source of randomness.
     may_try_failing : bool
         Whether the request may try an endpoint that failed the last ones.
+    body_bytes : int
+        Size of the request's body.
 
     Returns
     -------
     list of str
         Nodes of the owners.
     """
+    other_zone_cost = OTHER_ZONE_COST + OTHER_ZONE_COST_PER_MB * (
+        body_bytes / BYTES_PER_MB
+    )
     costs = []
     for candidate in candidates:
         if candidate.state not in USABLE_STATES:
             continue
-        cost = _cost(candidate, zone=zone, now_ms=now_ms)
+        cost = _cost(candidate, now_ms=now_ms)
+        if candidate.zone != zone:
+            cost += other_zone_cost
         if candidate.state is EndpointState.FAILING and may_try_failing:
             is_idle = candidate.in_flight + candidate.sent_since_report == 0
             if is_idle and rng.random() < TRIAL_SHARE:
@@ -106,7 +118,7 @@
     return [node for _, node in sorted(costs)]
 
 
-def _cost(candidate: Candidate, *, zone: str, now_ms: float) -> float:
+def _cost(candidate: Candidate, *, now_ms: float) -> float:
     age_ms = max(0.0, now_ms - candidate.reported_at_ms)
     trust = 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
     speed = trust * candidate.speed_percent / 100.0 + (1.0 - trust) * MEAN_SPEED
@@ -117,8 +129,6 @@
         queueing += FULL_COST * (occupancy - 1.0) + 1.0
     cost = speed * (1.0 + queueing)
     cost *= 1.0 + FAILURE_WEIGHT * candidate.failure_percent / 100.0
-    if candidate.zone != zone:
-        cost += OTHER_ZONE_COST
     if candidate.state is EndpointState.COLD:
         cost += COLD_COST
     elif candidate.state is EndpointState.FAILING:
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -123,6 +123,30 @@
     assert order == ["better", "worse"]
 
 
+@pytest.mark.parametrize(
+    ("body_bytes", "load", "first"),
+    [
+        (0, {"in_flight": 3}, "near"),
+        (0, {"in_flight": 7}, "far"),
+        (60_000, {"in_flight": 7}, "near"),
+        (60_000, {"in_flight": 8, "waiting": 6}, "far"),
+        (60_000, {"speed_percent": 400}, "far"),
+        (360_000, {"speed_percent": 400}, "near"),
+    ],
+)
+def test_large_bodies_stay_in_their_zone_unless_it_is_full(body_bytes, load, first):
+    # Guards against bytes between zones, which cost a sixth of an upload's worth.
+    candidates = [make_candidate("near", **load), make_candidate("far", zone="b")]
+    order = order_candidates(
+        candidates,
+        zone="a",
+        now_ms=1_000.0,
+        rng=random.Random(1),
+        body_bytes=body_bytes,
+    )
+    assert order[0] == first
+
+
 @pytest.mark.parametrize(
     "state",
     [
