Soak the programs of the users' platform with random faults

Real daemons as processes, behind proxies before callers and endpoints, on stand-ins of store and endpoints. Signals, restarts, losses of all power, harmed links, spoilt answers, crashes, drains, zones out, changes of the configuration and faults of the store come in series and overlap; callers keep their connections until the process closes them. Checked: runs twice, false refusals, foreign answers, late work after a drain or in a zone out, slots, cold rates, the retry budget, requests lost around planned work, the newest route everywhere after the last fault, and the share served.

The exchange of configurations between daemons moves from the hub into a module of its own, and tests and stand-ins build routes in one place.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= hanul
 SECONDS ?= 600
+# Runs of the platform's soak, each with the next seed.
+RUNS ?= 10
 # Workers of the tests without real processes.
 WORKERS ?= 3
 PACKAGES := core wire store daemon relay cli testbed
@@ -47,8 +49,13 @@
 	$(BIN)/python -m vanillapitch_testbed.slopes --out build/slopes.json
 
 soak: $(STAMP)
+ifeq ($(DEPLOYMENT),platform)
+	$(BIN)/python -m vanillapitch_testbed.platform_soak --runs $(RUNS) \
+		--logs build/soak $(if $(SEED),--seed $(SEED))
+else
 	$(BIN)/python -m vanillapitch_testbed.soak --seconds $(SECONDS) \
 		$(if $(SEED),--seed $(SEED))
+endif
 
 # Needs thrift-compiler 0.17; the generated code is committed.
 generate:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -25,6 +25,7 @@
 from vanillapitch_relay.links import FramedConnection, OwnerLink
 from vanillapitch_relay.owner import Owner
 from vanillapitch_relay.quarantine import Quarantine
+from vanillapitch_relay.snapshot_exchange import SnapshotExchange
 from vanillapitch_relay.store_reach import StoreReach
 
 __all__ = ["Hub"]
@@ -38,11 +39,6 @@
 # one. The loss of one delays no change, because the other zones are a second way.
 FOLLOWERS_PER_ZONE = 1
 FOLLOWERS_MIN = 2
-# A daemon asks for a change when one of its own availability zone announces it. Bytes
-# between zones are paid for, so it asks another one only after this time.
-OTHER_ZONE_DELAY_MS = 150.0
-# One question at a time; a document of 1,400 routes arrives within this time.
-ASK_INTERVAL_MS = 300.0
 # Reports are pushed to ingresses that sent a call within this time; the others learn
 # from the answers to their pings.
 PUSH_WITHIN_MS = 1_500.0
@@ -84,8 +80,7 @@
         self.quarantine: Quarantine | None = None
         self.on_members: Callable[[int], None] = lambda count: None
         self._reach = reach
-        self._asked_ms = -ASK_INTERVAL_MS
-        self._question: asyncio.TimerHandle | None = None
+        self._exchange = SnapshotExchange(clock=clock, configuration=configuration)
         self._member = member
         self._clock = clock
         self._configuration = configuration
@@ -320,36 +315,17 @@
             self.quarantine.hear(strike, source=hello.member.node)
 
     def _hear_revision(self, peer: OwnerLink | FramedConnection, revision: int) -> None:
-        if revision <= self._configuration.read_revision:
-            return
         link = self.links_by_node.get(_node_of(peer))
         is_near = link is not None and link.member.zone == self._member.zone
-        waited_ms = self._clock.now_ms() - self._asked_ms
-        if is_near and waited_ms >= ASK_INTERVAL_MS:
-            self._ask_snapshot(peer)
-        elif self._question is None:
-            self._question = asyncio.get_running_loop().call_later(
-                OTHER_ZONE_DELAY_MS / 1_000.0, self._ask_if_behind, peer, revision
-            )
-
-    def _ask_if_behind(self, peer: OwnerLink | FramedConnection, revision: int) -> None:
-        self._question = None
-        if revision > self._configuration.read_revision:
-            self._ask_snapshot(peer)
-
-    def _ask_snapshot(self, peer: OwnerLink | FramedConnection) -> None:
-        self._asked_ms = self._clock.now_ms()
-        peer.send(SnapshotRequest(newer_than=self._configuration.read_revision))
+        self._exchange.hear(revision, is_near=is_near, send=peer.send)
 
     def _on_peer_message(
         self, peer: OwnerLink | FramedConnection, message: object
     ) -> None:
         if isinstance(message, SnapshotRequest):
-            if self._configuration.read_revision > message.newer_than:
-                peer.send(self._configuration.snapshot())
+            self._exchange.answer(message, send=peer.send)
         elif isinstance(message, Snapshot):
-            self._asked_ms = -ASK_INTERVAL_MS
-            self._configuration.take_snapshot(message, source=_node_of(peer))
+            self._exchange.take(message, source=_node_of(peer))
         elif isinstance(message, Strike):
             self.quarantine.hear(message, source="peer")
         else:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
@@ -13,6 +13,7 @@
     ServiceSpec,
     StandInFleet,
     make_configuration,
+    make_route,
 )
 from vanillapitch_testbed.platform_standins._store import (
     Refusal,
@@ -31,5 +32,6 @@
     "StoreFaults",
     "StoreStandIn",
     "make_configuration",
+    "make_route",
     "send_request",
 ]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -79,7 +79,7 @@
     Parameters
     ----------
     address : str
-        Where it serves.
+        Where it serves, as it announces.
     control_address : str
         Where it announces itself.
     service, zone : str
@@ -88,6 +88,8 @@
         Requests at once.
     work_s : float
         Time of a request.
+    bind_address : str
+        Where it listens if a proxy has the announced address.
     """
 
     _numbers = itertools.count(1)
@@ -101,6 +103,7 @@
         zone: str,
         slots: int = 8,
         work_s: float = 0.01,
+        bind_address: str = "",
     ):
         self.address = address
         self.service = service
@@ -112,10 +115,12 @@
         self.runs: list[Run] = []
         self.connections = 0
         self.cold_until_s = 0.0
+        self.cold_times: list[tuple[float, float]] = []
         self.state = "ready"
         self.born_ms = time.time_ns() // 1_000_000
         self.most_running = 0
         self.speed_percent = 100
+        self._bind_address = bind_address or address
         self._control_address = control_address
         self._sequence = 0
         self._running = 0
@@ -125,7 +130,9 @@
 
     async def start(self, *, announce: bool = True) -> None:
         """Serve and announce."""
-        self._server = await serve(self.address, self._handle, on_open=self._opened)
+        self._server = await serve(
+            self._bind_address, self._handle, on_open=self._opened
+        )
         if announce:
             self._task = asyncio.get_running_loop().create_task(self._announce_often())
 
@@ -145,7 +152,10 @@
         self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
         self._sequence = 0
         self.state = "ready"
-        self.cold_until_s = time.monotonic() + cold_s
+        now_s = time.monotonic()
+        self.cold_until_s = now_s + cold_s
+        if cold_s:
+            self.cold_times.append((now_s, self.cold_until_s))
         await self.start()
 
     async def announce(self, **changes: object) -> int:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -19,7 +19,7 @@
 from vanillapitch_testbed.platform_standins._endpoint import EndpointStandIn
 from vanillapitch_testbed.platform_standins._store import StoreStandIn
 
-__all__ = ["ServiceSpec", "StandInFleet", "Vm", "make_configuration"]
+__all__ = ["ServiceSpec", "StandInFleet", "Vm", "make_configuration", "make_route"]
 
 HOST = "shop.example"
 STORE_PORT = 8309
@@ -71,6 +71,32 @@
     task: asyncio.Task | None = None
 
 
+def make_route(name: str, *, service: str, **changes: object) -> dict:
+    """Build a route of `make_configuration`.
+
+    Parameters
+    ----------
+    name : str
+        The route leads from ``/NAME/`` and is called ``r-NAME``.
+    service : str
+        Its service.
+    **changes : object
+        Fields that replace the defaults.
+    """
+    return {
+        "name": f"r-{name}",
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "route_kind": "safe",
+        "timeout_s": 1.0,
+        "target_latency_s": 0.3,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
 def make_configuration(
     services: list[ServiceSpec],
     *,
@@ -105,17 +131,12 @@
     resources = []
     for service in services:
         for suffix, kind in (("", "safe"), ("-once", "unsafe")):
-            route = {
-                "name": f"r-{service.name}{suffix}",
-                "host": HOST,
-                "prefix": f"/{service.name}{suffix}/",
-                "route_kind": kind,
-                "timeout_s": timeout_s,
-                "target_latency_s": 0.3,
-                "priority": 1,
-                "service": service.name,
-                "max_attempts": 2,
-            }
+            route = make_route(
+                f"{service.name}{suffix}",
+                service=service.name,
+                route_kind=kind,
+                timeout_s=timeout_s,
+            )
             resources.append(_route(route))
         specification = {
             "health_path": "/health",
@@ -240,6 +261,7 @@
             service=service.name,
             zone=zone,
             slots=service.slots,
+            bind_address=await self.prepare_endpoint(settings),
         )
         vm = Vm(document=document, settings=settings, endpoint=endpoint)
         self.vms.append(vm)
@@ -247,6 +269,10 @@
         await endpoint.start()
         return vm
 
+    async def prepare_endpoint(self, settings: Settings) -> str:
+        """Return where the endpoint of a VM listens."""
+        return settings.endpoint_address
+
     def store_host(self, vm: int) -> str:
         """Return the host at which a VM reaches the store."""
         return f"{self._net}.{100 + vm}"
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/proxy/_tcp.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/proxy/_tcp.py
@@ -87,6 +87,9 @@
                 self._forward(pair, reader, target_writer, is_answer=False),
                 self._forward(pair, target_reader, writer, is_answer=True),
             )
+        except asyncio.CancelledError:
+            # The loop of the proxy ends; there is nobody to tell.
+            return
         finally:
             self._pairs.discard(pair)
             pair.cut()
