Estimate the callers' deadline of a route by a quantile, not by the longest

Cause: one caller with a deadline of a minute would have made every other request of its route look like a late repeat, for the life of the daemon: they would go last and wait 10 ms at most.

The estimate follows the 0.9 quantile of the times that callers name.

Ruled out: the route's time-out as a bound. It may be far above the callers' deadlines.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/route_times.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/route_times.py
@@ -6,6 +6,11 @@
 
 # Callers of one route were seen to wait for times that differ by this share.
 DEADLINE_SPREAD = 0.15
+# First attempts name the most time, and most requests are first attempts. Few callers
+# with longer deadlines than all others must not make those look late.
+DEADLINE_QUANTILE = 0.9
+# Step of the estimate with one request, as a share of it.
+DEADLINE_STEP = 0.02
 # Weight of one run; twenty runs take part of a second at the users' load.
 RUN_WEIGHT = 0.05
 # Before the first run, milliseconds.
@@ -21,11 +26,11 @@
 
     Attributes
     ----------
-    longest_ms_by_route : dict of str to float
-        Longest time that a caller named.
+    high_ms_by_route : dict of str to float
+        Estimated quantile of the times that callers name.
     """
 
-    longest_ms_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+    high_ms_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def estimate_elapsed_ms(self, route_name: str, *, remaining_ms: float) -> float:
         """Estimate how long ago a caller sent the first attempt of a request.
@@ -42,9 +47,10 @@
         float
             Milliseconds, at least; 0 for a first attempt.
         """
-        longest_ms = max(self.longest_ms_by_route.get(route_name, 0.0), remaining_ms)
-        self.longest_ms_by_route[route_name] = longest_ms
-        return max(0.0, (1.0 - DEADLINE_SPREAD) * longest_ms - remaining_ms)
+        high_ms = self.high_ms_by_route.get(route_name, remaining_ms)
+        step = DEADLINE_STEP * (DEADLINE_QUANTILE - (remaining_ms <= high_ms))
+        self.high_ms_by_route[route_name] = high_ms * (1.0 + step)
+        return max(0.0, (1.0 - DEADLINE_SPREAD) * high_ms - remaining_ms)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
