Read the members afresh after the store was lost

Cause: a key that the store takes away while it turns a daemon away, with the lease still held, was only missed at the next stale read, up to 8 s and the age of that read later; entries must be back within about two seconds of the store's return. The test failed with a time-out before. It costs one call per daemon and outage that a renewal meets.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -93,6 +93,8 @@
         self._is_listed = False
         self._listed_at_ms = -STALE_READ_AGE_MS
         self._members_due_ms = clock.now_ms() + MEMBERS_INTERVAL_MS
+        # The store was lost, and may have taken keys away meanwhile.
+        self._is_list_doubtful = False
         self._stopping = False
 
     async def run(self, start: PrefixResult) -> None:
@@ -115,6 +117,7 @@
                 continue
             except StoreError as error:
                 self._reach.note_failure("register", error)
+                self._is_list_doubtful = True
                 await _pause(RETRY_MS)
                 continue
             await asyncio.sleep(RENEW_INTERVAL_MS / 1_000.0)
@@ -182,12 +185,15 @@
 
     async def _read_members(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms < self._members_due_ms:
+        if now_ms < self._members_due_ms and not self._is_list_doubtful:
             return
-        # The first read after the own key was written must contain all older keys.
-        may_be_stale = now_ms - self._listed_at_ms > STALE_READ_AGE_MS
+        # The first read after the own key was written must contain all older keys, and
+        # the first one after an outage whether the own key is still there.
+        is_settled = now_ms - self._listed_at_ms > STALE_READ_AGE_MS
+        may_be_stale = is_settled and not self._is_list_doubtful
         result = await self._store.get_prefix(self._prefix, may_be_stale=may_be_stale)
         self._reach.note_answer("get_prefix_stale" if may_be_stale else "get_prefix")
+        self._is_list_doubtful = False
         interval_ms = MEMBERS_INTERVAL_MS * random.uniform(0.8, 1.0)
         self._members_due_ms = now_ms + interval_ms
         self._on_members(self._decode_members(result.entries))
--- a/packages/vanillapitch-relay/tests/test_store_economy.py
+++ b/packages/vanillapitch-relay/tests/test_store_economy.py
@@ -175,6 +175,22 @@
     run_fleet(scenario)
 
 
+def test_a_key_that_is_taken_away_in_an_outage_is_back_two_seconds_after(run_fleet):
+    # Guards against a daemon whose lease outlives its key: no renewal tells it.
+    async def scenario(fleet):
+        await asyncio.sleep(0.6)
+        fleet.store.faults.refusal = Refusal.BUSY
+        fleet.store.faults.refused_hosts = {fleet.store_host(0)}
+        fleet.store.delete("owners/vm-1")
+        await asyncio.sleep(2.5)
+        fleet.store.faults.refusal = None
+        await fleet.wait_until(
+            lambda: "owners/vm-1" in fleet.store.keys("owners/"), timeout_s=2
+        )
+
+    run_fleet(scenario)
+
+
 def test_unreadable_snapshots_of_peers_change_nothing():
     # Guards against a cut-off or oversized document of another daemon.
     changes = []
