--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
@@ -37,7 +37,7 @@
     Attributes
     ----------
     what : str
-        ``leaving``, ``zone_out``, ``stopping`` or ``store_harmed``.
+        ``leaving``, ``zone_out`` or ``store_harmed``.
     subject : str
         Node or availability zone; empty for the store.
     since_s, until_s : float
@@ -120,20 +120,12 @@
 
 
 async def _stop(context: Context, vm: Vm) -> None:
-    since_s = time.monotonic()
     context.fleet.signal(vm, signal.SIGTERM)
     await context.pause(0.0, 0.5)
     context.fleet.signal(vm, signal.SIGTERM)
     code = await context.fleet.wait_for_end(vm)
     if code != 0:
         context.fleet.broken.append(f"{vm.settings.node} stopped with code {code}")
-    span = Span(
-        what="stopping",
-        subject=vm.settings.node,
-        since_s=since_s,
-        until_s=time.monotonic(),
-    )
-    context.spans.append(span)
     await context.pause(*RESTART_S)
     await context.fleet.start_daemon(vm)
     await context.pause()
