Send signals to the programs of a fleet without polling them

Cause: subprocess polls a process before it signals it, so a signal at the moment of the end took the exit code away from the event loop's waiter. It is a fault of the test's fleet; the daemon's exit code was 0 (ruled out by the new test, which waits for the daemon's last line before it signals). Signals go through a pidfd now, which also cannot hit another process with the same id.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -15,7 +15,7 @@
     Vm,
 )
 
-__all__ = ["ProcessFleet"]
+__all__ = ["STOP_TIMEOUT_S", "ProcessFleet"]
 
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
@@ -34,6 +34,7 @@
         super().__init__(services=services)
         self._folder = tempfile.TemporaryDirectory()
         self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._pidfds: dict[str, int] = {}
 
     async def start_daemon(self, vm: Vm) -> None:
         """Start the program that the deployment runs."""
@@ -41,7 +42,7 @@
         path = folder / f"{vm.settings.node}.json"
         path.write_bytes(vm.document)
         log = (folder / f"{vm.settings.node}.log").open("ab")
-        self._processes[vm.settings.node] = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-c",
             "import sys; from vanillapitch_adapter.main import main; sys.exit(main())",
@@ -50,6 +51,9 @@
             env={**os.environ, "VANILLAPITCH_BOOT": str(path)},
         )
         log.close()
+        self._forget_pidfd(vm)
+        self._processes[vm.settings.node] = process
+        self._pidfds[vm.settings.node] = os.pidfd_open(process.pid)
 
     async def wait_until_connected(self, *, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until every daemon answers a request to each service."""
@@ -59,8 +63,12 @@
                     await self._wait_for_answer(vm, f"/{service.name}/ready")
 
     def signal(self, vm: Vm, number: signal.Signals) -> None:
-        """Send a signal to the daemon of a VM."""
-        self._processes[vm.settings.node].send_signal(number)
+        """Send a signal to the daemon of a VM; raises `ProcessLookupError`.
+
+        `subprocess` would poll the process first and so take its exit code away from
+        the event loop, which then reports 255.
+        """
+        signal.pidfd_send_signal(self._pidfds[vm.settings.node], number)
 
     async def wait_for_end(self, vm: Vm) -> int:
         """Wait until the daemon of a VM ends; return its exit code."""
@@ -76,17 +84,24 @@
         """Kill the daemon of a VM."""
         process = self._processes.get(vm.settings.node)
         if process is not None and process.returncode is None:
-            process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                self.signal(vm, signal.SIGKILL)
             await process.wait()
 
     async def stop(self) -> None:
         """End everything that was started."""
         for vm in self.vms:
             await self.kill_daemon(vm)
+            self._forget_pidfd(vm)
             await vm.endpoint.stop()
         await self.store.stop()
         self._folder.cleanup()
 
+    def _forget_pidfd(self, vm: Vm) -> None:
+        pidfd = self._pidfds.pop(vm.settings.node, None)
+        if pidfd is not None:
+            os.close(pidfd)
+
     async def _wait_for_answer(self, vm: Vm, target: str) -> None:
         while True:
             with contextlib.suppress(OSError, TimeoutError):
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -7,7 +7,10 @@
 import pytest
 from vanillapitch_testbed.platform_demo import run_demo
 from vanillapitch_testbed.platform_standins import ServiceSpec
-from vanillapitch_testbed.platform_standins._processes import ProcessFleet
+from vanillapitch_testbed.platform_standins._processes import (
+    STOP_TIMEOUT_S,
+    ProcessFleet,
+)
 
 pytestmark = pytest.mark.integration
 
@@ -65,6 +68,25 @@
     assert run_processes(scenario) == 0
 
 
+def test_signals_leave_the_exit_code_of_a_process_to_its_waiter():
+    # Seen in CI: a signal at the moment of the end reaped the process, and its exit
+    # code was reported as 255.
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        fleet.signal(vm, signal.SIGTERM)
+        await fleet.wait_until(
+            lambda: '"stopped"' in fleet.log_of(vm), timeout_s=STOP_TIMEOUT_S
+        )
+        with contextlib.suppress(ProcessLookupError):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while True:
+                    fleet.signal(vm, signal.SIGTERM)
+                    await asyncio.sleep(0)
+        return await fleet.wait_for_end(vm)
+
+    assert run_processes(scenario) == 0
+
+
 def test_a_stopped_process_loses_its_work_and_gets_it_back():
     # Guards against calls that hang on a daemon that does not run.
     async def scenario(fleet):
