Let calls wait for the rate of a cold endpoint, and report how much of it is left

After a loss of all power every endpoint is cold. A cold endpoint that had used up its rate looked idle in its reports, so most calls of its service were sent there and refused; and it refused calls up to the very moment at which the next one could be sent.

Calls wait until the oldest send leaves the window, within their usual limit, and the limit in a report is what the rate leaves. The tests failed before the change.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -137,6 +137,13 @@
         """Tell whether the endpoint bears only its cold rate."""
         return now_ms < self.cold_until_ms
 
+    def limit_now(self, *, now_ms: float) -> int:
+        """Return how many may run at once within the cold rate, 0 when it is used."""
+        if not self.is_cold(now_ms=now_ms):
+            return self.limit
+        room = max(0, _cold_room(self, now_ms=now_ms))
+        return min(self.limit, len(self.running) + room)
+
 
 def wait_limit_ms(
     *, objective_ms: float, remaining_ms: float, usual_ms: float
@@ -162,13 +169,14 @@
     return max(0.0, min(max(useful_ms, least_ms), remaining_ms))
 
 
-def estimate_wait_ms(state: AdmissionState, ticket: CallTicket) -> float:
+def estimate_wait_ms(
+    state: AdmissionState, ticket: CallTicket, *, now_ms: float
+) -> float:
     """Estimate how long a call would wait if it were queued now."""
     ahead = bisect.bisect_right(state.waiting, _rank(ticket), key=_rank)
     free = state.limit - len(state.running)
-    if free > ahead:
-        return 0.0
-    return (ahead - free + 1) * state.latency_ms / state.limit
+    wait_ms = max(0, ahead - free + 1) * state.latency_ms / state.limit
+    return max(wait_ms, _cold_wait_ms(state, ahead=ahead, now_ms=now_ms))
 
 
 def offer(
@@ -192,13 +200,10 @@
     """
     if state.blocked is not None:
         return state.blocked
-    wait_ms = estimate_wait_ms(state, ticket)
+    wait_ms = estimate_wait_ms(state, ticket, now_ms=now_ms)
     if now_ms + wait_ms > ticket.wait_until_ms:
-        return RefusalReason.OVERLOADED
-    if state.is_cold(now_ms=now_ms) and len(state.waiting) >= _cold_room(
-        state, now_ms=now_ms
-    ):
-        return RefusalReason.COLD
+        is_cold = state.is_cold(now_ms=now_ms)
+        return RefusalReason.COLD if is_cold else RefusalReason.OVERLOADED
     if len(state.waiting) >= QUEUE_LIMIT_FACTOR * state.limit:
         return RefusalReason.OVERLOADED
     bisect.insort(state.waiting, ticket, key=_rank)
@@ -281,11 +286,29 @@
     if not state.waiting:
         return None
     next_ms = min(ticket.wait_until_ms for ticket in state.waiting)
-    if state.is_cold(now_ms=now_ms) and state.sent_at_ms:
-        next_ms = min(next_ms, state.sent_at_ms[0] + COLD_WINDOW_MS)
+    cold_wait_ms = _cold_wait_ms(state, ahead=0, now_ms=now_ms)
+    if cold_wait_ms > 0.0:
+        next_ms = min(next_ms, now_ms + cold_wait_ms)
     return next_ms
 
 
+def _cold_wait_ms(state: AdmissionState, *, ahead: int, now_ms: float) -> float:
+    """Return when the cold rate admits a call behind `ahead` others."""
+    if not state.is_cold(now_ms=now_ms):
+        return 0.0
+    missing = ahead + 1 - _cold_room(state, now_ms=now_ms)
+    if missing <= 0:
+        return 0.0
+    # A send leaves the window a second after it; those after the last one here are
+    # not known yet.
+    last_index = len(state.sent_at_ms) - 1
+    if last_index < 0:
+        return state.cold_until_ms - now_ms
+    leaving_ms = state.sent_at_ms[min(missing - 1, last_index)]
+    until_ms = min(leaving_ms + COLD_WINDOW_MS, state.cold_until_ms)
+    return max(0.0, until_ms - now_ms)
+
+
 def _cold_room(state: AdmissionState, *, now_ms: float) -> int:
     _forget_old_sends(state, now_ms=now_ms)
     return int(COLD_RATE_FACTOR * state.cold_per_s) - len(state.sent_at_ms)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -128,15 +128,16 @@
 
     def report(self) -> EndpointReport:
         """Return the state of the endpoint for ingresses."""
+        now_ms = self._now_ms()
         state = EndpointState.LEAVING if self.stopping else self._state
         return EndpointReport(
             state=state.value,
             instance=self.parts.belief.instance,
             in_flight=len(self.admission.running),
             waiting=len(self.admission.waiting),
-            limit=self.admission.limit,
+            limit=self.admission.limit_now(now_ms=now_ms),
             speed_percent=self.speed_percent,
-            failure_percent=int(100 * self._failures.share(now_ms=self._now_ms())),
+            failure_percent=int(100 * self._failures.share(now_ms=now_ms)),
             revision=self.parts.revision(),
             latency_ms=self.admission.latency_ms,
         )
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
@@ -44,7 +44,8 @@
     state : EndpointState
         State in the last report.
     limit : int
-        Requests that its owner admits at once.
+        Requests that its owner admits at once; 0 while a cold endpoint has used up
+        its rate.
     in_flight, waiting : int
         Requests that run and wait, according to the last report.
     sent_since_report : int
@@ -123,7 +124,7 @@
     trust = 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
     speed = trust * candidate.speed_percent / 100.0 + (1.0 - trust) * MEAN_SPEED
     load = candidate.in_flight + candidate.waiting + candidate.sent_since_report
-    occupancy = load / max(1, candidate.limit)
+    occupancy = load / candidate.limit if candidate.limit else 1.0 + load
     queueing = occupancy**2
     if occupancy >= 1.0:
         queueing += FULL_COST * (occupancy - 1.0) + 1.0
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -114,6 +114,7 @@
         {"speed_percent": 400},
         {"failure_percent": 40},
         {"state": EndpointState.COLD},
+        {"limit": 0},
     ],
 )
 def test_the_better_endpoint_comes_first(worse):
@@ -350,6 +351,47 @@
         assert len(inside) <= 26
 
 
+def cold_state(sent_at_ms):
+    state = make_state(cold_until_ms=1e9, cold_per_s=4.0)
+    state.sent_at_ms.extend(sent_at_ms)
+    return state
+
+
+def test_a_call_waits_for_the_rate_of_a_cold_endpoint():
+    # Seen on hanul-mesh-grown trouble-1: after a loss of all power, calls were refused
+    # up to the moment at which the next one could have been sent.
+    state = cold_state([0.0, 100.0, 200.0, 300.0, 400.0])
+    late = make_ticket(1, wait_until_ms=999.0)
+    assert admission.offer(state, late, now_ms=950.0) is RefusalReason.COLD
+    for number, wait_until_ms in ((2, 1_000.0), (3, 1_100.0)):
+        ticket = make_ticket(number, wait_until_ms=wait_until_ms)
+        assert admission.offer(state, ticket, now_ms=950.0) is None
+    assert admission.next_event_ms(state, now_ms=950.0) == 1_000.0
+    assert admission.admit_next(state, now_ms=999.0) is None
+    assert admission.admit_next(state, now_ms=1_000.0).id == 2
+    assert admission.admit_next(state, now_ms=1_000.0) is None
+    assert admission.admit_next(state, now_ms=1_100.0).id == 3
+
+
+def test_a_cold_endpoint_without_room_shows_no_limit():
+    # Seen on hanul-mesh-grown trouble-1: a cold endpoint that had used up its rate
+    # looked idle, and most calls of its service were sent there and refused.
+    state = cold_state([0.0, 100.0, 200.0, 300.0, 400.0])
+    assert state.limit_now(now_ms=950.0) == 0
+    assert state.limit_now(now_ms=1_150.0) == 2
+    assert state.limit_now(now_ms=1e9) == state.limit
+
+
+def test_the_end_of_a_cold_start_ends_the_wait():
+    # Guards against calls that wait for the rate of an endpoint that has warmed up.
+    state = cold_state([900.0] * 5)
+    state.cold_until_ms = 1_000.0
+    ticket = make_ticket(1, wait_until_ms=1_050.0)
+    assert admission.offer(state, ticket, now_ms=950.0) is None
+    assert admission.next_event_ms(state, now_ms=950.0) == 1_000.0
+    assert admission.admit_next(state, now_ms=1_000.0) is ticket
+
+
 def test_a_blocked_endpoint_gets_nothing():
     # Guards against work for endpoints that are leaving or in a zone out of service.
     state = make_state()
