Measure the speed of an endpoint before a run, and refuse calls while it is slow

The figure that chose the endpoint was older than the change for about one run in eight, because a slow endpoint tells its speed only with its next answer.

An owner now refreshes a figure older than 25 ms by a health check that all waiting calls share, and refuses the call if the endpoint is twice slower than its fastest figure lately and the ingress has another owner to ask.

The protocol between daemons gains one field, so its version is 3.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -56,6 +56,7 @@
     PAST_DEADLINE = "past_deadline"
     QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
+    SLOW = "slow"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -166,6 +166,7 @@
                 send_to_all=self._hub.publish_state,
             ),
             examine=self._examine,
+            measure=self._measure,
         )
         self._hub.owner = self._owner
         self._hub.quarantine = self._quarantine
@@ -372,6 +373,9 @@
     def _examine(self) -> None:
         self._monitor.examine()
 
+    async def _measure(self) -> None:
+        await self._monitor.measure()
+
     async def _use_store(self) -> None:
         """Read once what the store holds, then stay registered and follow it."""
         start = await self._read_store()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -61,11 +61,21 @@
         self._wake = asyncio.Event()
         self._connection: HttpConnection | None = None
         self._silent = 0
+        self._is_checking = False
+        self._measured: asyncio.Future[None] | None = None
 
     def examine(self) -> None:
         """Check at once, because a request failed."""
         self._wake.set()
 
+    async def measure(self) -> None:
+        """Return after the next check that ends; all that wait share it."""
+        if self._measured is None:
+            self._measured = asyncio.get_running_loop().create_future()
+            if not self._is_checking:
+                self.examine()
+        await asyncio.shield(self._measured)
+
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
@@ -76,7 +86,12 @@
             except TimeoutError:
                 pass
             self._wake.clear()
+            self._is_checking = True
             await self._check()
+            self._is_checking = False
+            if self._measured is not None:
+                self._measured.set_result(None)
+                self._measured = None
 
     def _interval_ms(self) -> float:
         belief = self._owner.parts.belief
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -276,6 +276,9 @@
             may_try_failing=progress.route.idempotent and not progress.asked,
             body_bytes=len(progress.request.body),
         )
+        progress.has_alternative = (
+            len(order) > 1 and progress.refusals + 1 < MAX_OWNERS_ASKED
+        )
         return order[0] if order else None
 
     async def _call(self, progress: Progress, node: str) -> Reply:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -1,9 +1,10 @@
 """The owner of the endpoint on this VM: decides exactly what the endpoint gets."""
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from vanillapitch_core.clock import Clock
 from vanillapitch_wire.relay import Call, EndpointReport, HeaderField, Reply
@@ -12,6 +13,7 @@
 from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
 from vanillapitch_relay.breaker import Breaker
 from vanillapitch_relay.endpoint_pool import EndpointPool
+from vanillapitch_relay.endpoint_speed import EndpointSpeed
 from vanillapitch_relay.endpoint_state import (
     EndpointBelief,
     apply_zone_return,
@@ -43,6 +45,8 @@
 
 _log = EventLog(part="owner")
 
+# A health check of an endpoint that is not full takes up to 6 ms.
+MEASURE_TIMEOUT_MS = 15.0
 # Below this, an endpoint cannot answer in time.
 MIN_REMAINING_MS = 5.0
 _BLOCKED_BY_STATE = {
@@ -101,6 +105,8 @@
         Sends reports to ingresses.
     examine : callable
         Asks for a health check at once.
+    measure : callable
+        Returns after a health check that ends from now on.
     """
 
     def __init__(
@@ -109,14 +115,16 @@
         parts: OwnerParts,
         reports: ReportFeed,
         examine: Callable[[], None],
+        measure: Callable[[], Awaitable[None]],
     ):
         self.parts = parts
         self.admission = AdmissionState()
-        self.speed_percent = 100
+        self.speed = EndpointSpeed()
         self.stopping = False
         self.broken_fingerprints: dict[str, float] = {}
         self._reports = reports
         self._examine = examine
+        self._measure = measure
         self._failures = FailureShare()
         self._breaker = Breaker()
         self._ticket_ids = itertools.count(1)
@@ -136,7 +144,7 @@
             in_flight=len(self.admission.running),
             waiting=len(self.admission.waiting),
             limit=self.admission.limit_now(now_ms=now_ms),
-            speed_percent=self.speed_percent,
+            speed_percent=int(self.speed.estimate_percent(now_ms=now_ms)),
             failure_percent=int(100 * self._failures.share(now_ms=now_ms)),
             revision=self.parts.revision(),
             latency_ms=self.admission.latency_ms,
@@ -208,9 +216,9 @@
         """
         arrived_ms = self._now_ms()
         ticket = self._make_ticket(call, now_ms=arrived_ms)
-        reason = self._find_objection(call) or admission.offer(
-            self.admission, ticket, now_ms=arrived_ms
-        )
+        reason = self._find_objection(call) or await self._find_slowness(call)
+        if reason is None:
+            reason = admission.offer(self.admission, ticket, now_ms=self._now_ms())
         if reason is None:
             reason = await self._wait(ticket)
         if reason is not None:
@@ -244,7 +252,7 @@
             waited_ms=round(sent_ms - arrived_ms, 1),
             ran_ms=round(self._now_ms() - sent_ms, 1),
             running=len(self.admission.running),
-            speed=self.speed_percent,
+            speed=self.speed.percent,
         )
         reply.report = self.report()
         return reply
@@ -273,6 +281,18 @@
             return RefusalReason.QUARANTINED
         return None
 
+    async def _find_slowness(self, call: Call) -> RefusalReason | None:
+        """Refuse a call that another endpoint would probably run sooner."""
+        if not call.has_alternative or self.admission.blocked is not None:
+            return None
+        if not self.speed.is_fresh(now_ms=self._now_ms()):
+            # A figure that comes late decides nothing; the call goes on without it.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(MEASURE_TIMEOUT_MS / 1_000.0):
+                    await self._measure()
+        is_slow = self.speed.is_slow(now_ms=self._now_ms())
+        return RefusalReason.SLOW if is_slow else None
+
     async def _wait(self, ticket: CallTicket) -> RefusalReason | None:
         future = asyncio.get_running_loop().create_future()
         self._admitted_by_id[ticket.id] = future
@@ -415,7 +435,7 @@
         if figures is None:
             _log.warning("load_unreadable", value=value.decode("latin-1"))
             return
-        self.speed_percent = figures.speed_percent
+        self.speed.record(figures.speed_percent, now_ms=self._now_ms())
 
     def _refuse(
         self, call: Call, reason: RefusalReason, *, source: str, arrived_ms: float
@@ -430,6 +450,8 @@
             running=len(self.admission.running),
             waiting=len(self.admission.waiting),
             limit=self.admission.limit,
+            speed=self.speed.percent,
+            speed_age_ms=round(self._now_ms() - self.speed.measured_ms, 1),
             objective_ms=call.objective_ms,
         )
         self.parts.metrics.count_owner_refusal(reason)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
@@ -46,6 +46,8 @@
         Owners that refused it.
     under_way : bool
         Whether an owner has it now.
+    has_alternative : bool
+        Whether another owner would be asked after the one chosen last.
     """
 
     request: HttpRequest
@@ -62,6 +64,7 @@
     may_have_run: bool = False
     refusals: int = 0
     under_way: bool = False
+    has_alternative: bool = False
 
 
 def make_call(
@@ -110,6 +113,7 @@
         idempotent=progress.route.idempotent,
         fingerprint=progress.fingerprint,
         route_name=progress.route.name,
+        has_alternative=progress.has_alternative,
     )
 
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ranking.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Iterable
 
+from vanillapitch_relay.endpoint_speed import EndpointSpeed
 from vanillapitch_relay.model import EndpointState
 
 __all__ = ["USABLE_STATES", "Candidate", "order_candidates"]
@@ -16,9 +17,6 @@
 # goes there only when the endpoints nearby are slow or full.
 OTHER_ZONE_COST_PER_MB = 16.0
 BYTES_PER_MB = 1_000_000
-# The speed of a VM changes about every 300 ms; an old figure approaches the mean.
-SPEED_HALF_LIFE_MS = 150.0
-MEAN_SPEED = 1.75
 # An endpoint that fails half of its requests costs three times as much.
 FAILURE_WEIGHT = 4.0
 COLD_COST = 1.0
@@ -120,9 +118,10 @@
 
 
 def _cost(candidate: Candidate, *, now_ms: float) -> float:
-    age_ms = max(0.0, now_ms - candidate.reported_at_ms)
-    trust = 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
-    speed = trust * candidate.speed_percent / 100.0 + (1.0 - trust) * MEAN_SPEED
+    reported = EndpointSpeed(
+        percent=candidate.speed_percent, measured_ms=candidate.reported_at_ms
+    )
+    speed = reported.estimate_percent(now_ms=now_ms) / 100.0
     load = candidate.in_flight + candidate.waiting + candidate.sent_since_report
     occupancy = load / candidate.limit if candidate.limit else 1.0 + load
     queueing = occupancy**2
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
@@ -645,6 +645,7 @@
      - idempotent
      - fingerprint
      - route_name
+     - has_alternative
 
     """
 
@@ -662,10 +663,11 @@
         'idempotent',
         'fingerprint',
         'route_name',
+        'has_alternative',
     )
 
 
-    def __init__(self, id=None, request_id=None, service_name=None, method=None, target=None, headers=None, body=None, remaining_ms=None, objective_ms=None, priority=None, idempotent=None, fingerprint=None, route_name=None,):
+    def __init__(self, id=None, request_id=None, service_name=None, method=None, target=None, headers=None, body=None, remaining_ms=None, objective_ms=None, priority=None, idempotent=None, fingerprint=None, route_name=None, has_alternative=None,):
         self.id = id
         self.request_id = request_id
         self.service_name = service_name
@@ -679,6 +681,7 @@
         self.idempotent = idempotent
         self.fingerprint = fingerprint
         self.route_name = route_name
+        self.has_alternative = has_alternative
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -760,6 +763,11 @@
                     self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.has_alternative = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -825,6 +833,10 @@
             oprot.writeFieldBegin('route_name', TType.STRING, 13)
             oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
             oprot.writeFieldEnd()
+        if self.has_alternative is not None:
+            oprot.writeFieldBegin('has_alternative', TType.BOOL, 14)
+            oprot.writeBool(self.has_alternative)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -855,6 +867,8 @@
             raise TProtocolException(message='Required field fingerprint is unset!')
         if self.route_name is None:
             raise TProtocolException(message='Required field route_name is unset!')
+        if self.has_alternative is None:
+            raise TProtocolException(message='Required field has_alternative is unset!')
         return
 
     def __repr__(self):
@@ -1740,6 +1754,7 @@
     (11, TType.BOOL, 'idempotent', None, None, ),  # 11
     (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
     (13, TType.STRING, 'route_name', 'UTF8', None, ),  # 13
+    (14, TType.BOOL, 'has_alternative', None, None, ),  # 14
 )
 all_structs.append(Reply)
 Reply.thrift_spec = (
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/relay.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/relay.py
@@ -48,7 +48,7 @@
     "encode_frame",
 ]
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 _LENGTH_BYTES = 4
 # The largest body that a configuration may allow, 64 MB, with room for its headers.
 MAX_FRAME_BYTES = 65 * 1024 * 1024
