Give cold endpoints the rate that the deployment allows, also over a restart

The owner used 1.3 times the rate that the service names; the deployment allows 1.5 times and some more in any second.

A new process also expects that the one before used the whole rate until it ended, unless the endpoint started later than that; before, a kill during a cold start could lead to twice the rate.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from vanillapitch_core.exceptions import check_invariant
 
@@ -13,6 +14,7 @@
     "RefusalReason",
     "admit_next",
     "begin",
+    "compute_cold_limit",
     "end",
     "estimate_wait_ms",
     "expire",
@@ -37,10 +39,15 @@
 LATENCY_WEIGHT = 0.1
 # Before the first answer, milliseconds.
 INITIAL_LATENCY_MS = 50.0
-COLD_WINDOW_MS = 1_000.0
-# The platform's rule allows 1.5 times the cold rate and five more in any second, and
-# endpoints crash well above the rate itself.
-COLD_RATE_FACTOR = 1.3
+# A second, and the time by which a send on a new connection or a busy event loop may
+# come later than its admission.
+COLD_WINDOW_MS = 1_100.0
+# Share of the slack of the cold rate that is used. The rest is for requests that arrive
+# later than they were sent.
+COLD_SLACK_SHARE = 0.5
+# The platform starts a process again half a second after its end, and the imports take
+# a tenth, so no earlier process sent anything for so long before this one began.
+RESTART_GAP_MS = 400.0
 
 
 class RefusalReason(enum.StrEnum):
@@ -99,8 +106,12 @@
         Why it gets nothing at all.
     cold_until_ms : float
         Until when it is cold.
-    cold_per_s : float
-        Requests per second while cold.
+    cold_start_ms : float
+        How long it is cold after its start.
+    cold_limit : int
+        Requests in any second while cold.
+    began_ms : float
+        When this process began to admit; an earlier one may have sent before.
     running : set of int
         Tickets of calls at the endpoint.
     waiting : list of CallTicket
@@ -117,7 +128,9 @@
     max_connections: int = 1
     blocked: RefusalReason | None = RefusalReason.UNKNOWN_ENDPOINT
     cold_until_ms: float = 0.0
-    cold_per_s: float = 0.0
+    cold_start_ms: float = 0.0
+    cold_limit: int = 0
+    began_ms: float = -math.inf
     running: set[int] = dataclasses.field(default_factory=set)
     waiting: list[CallTicket] = dataclasses.field(default_factory=list)
     latency_ms: float = INITIAL_LATENCY_MS
@@ -170,6 +183,24 @@
     return max(0.0, min(max(useful_ms, least_ms), remaining_ms))
 
 
+def compute_cold_limit(*, cold_per_s: float, overshoot: float, slack: float) -> int:
+    """Compute how many requests a cold endpoint may get in any second.
+
+    Parameters
+    ----------
+    cold_per_s : float
+        Rate that the service names.
+    overshoot, slack : float
+        The deployment's bounds on it.
+
+    Returns
+    -------
+    int
+        Requests.
+    """
+    return int(cold_per_s * overshoot + COLD_SLACK_SHARE * slack)
+
+
 def estimate_wait_ms(
     state: AdmissionState, ticket: CallTicket, *, now_ms: float
 ) -> float:
@@ -302,17 +333,32 @@
         return 0.0
     # A send leaves the window a second after it; those after the last one here are
     # not known yet.
-    last_index = len(state.sent_at_ms) - 1
-    if last_index < 0:
-        return state.cold_until_ms - now_ms
-    leaving_ms = state.sent_at_ms[min(missing - 1, last_index)]
-    until_ms = min(leaving_ms + COLD_WINDOW_MS, state.cold_until_ms)
-    return max(0.0, until_ms - now_ms)
+    if _is_unsure_of_sends(state, now_ms=now_ms):
+        until_ms = _sure_from_ms(state)
+    elif state.sent_at_ms:
+        index = min(missing, len(state.sent_at_ms)) - 1
+        until_ms = state.sent_at_ms[index] + COLD_WINDOW_MS
+    else:
+        until_ms = state.cold_until_ms
+    return max(0.0, min(until_ms, state.cold_until_ms) - now_ms)
 
 
 def _cold_room(state: AdmissionState, *, now_ms: float) -> int:
     _forget_old_sends(state, now_ms=now_ms)
-    return int(COLD_RATE_FACTOR * state.cold_per_s) - len(state.sent_at_ms)
+    if _is_unsure_of_sends(state, now_ms=now_ms):
+        return 0
+    return state.cold_limit - len(state.sent_at_ms)
+
+
+def _is_unsure_of_sends(state: AdmissionState, *, now_ms: float) -> bool:
+    """Tell whether an earlier process may have used the rate of the last second."""
+    cold_began_ms = state.cold_until_ms - state.cold_start_ms
+    is_older = cold_began_ms < state.began_ms - RESTART_GAP_MS
+    return is_older and now_ms < _sure_from_ms(state)
+
+
+def _sure_from_ms(state: AdmissionState) -> float:
+    return state.began_ms - RESTART_GAP_MS + COLD_WINDOW_MS
 
 
 def _forget_old_sends(state: AdmissionState, *, now_ms: float) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -171,7 +171,9 @@
         self._hub.owner = self._owner
         self._hub.quarantine = self._quarantine
         self._monitor = EndpointMonitor(
-            owner=self._owner, configuration=lambda: self._configuration.configuration
+            owner=self._owner,
+            configuration=lambda: self._configuration.configuration,
+            bounds=lambda: self.settings.bounds,
         )
         self._registration = Registration(
             store=store,
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from vanillapitch_relay.admission import compute_cold_limit
 from vanillapitch_relay.endpoint_state import (
     EndpointBelief,
     HealthAnswer,
@@ -22,7 +23,7 @@
     open_connection,
 )
 from vanillapitch_relay.line_log import EventLog
-from vanillapitch_relay.model import Configuration
+from vanillapitch_relay.model import Bounds, Configuration, ServiceLimits
 from vanillapitch_relay.owner import Owner
 
 __all__ = ["EndpointMonitor"]
@@ -51,13 +52,20 @@
         The owner.
     configuration : callable
         Returns the configuration in force, or None.
+    bounds : callable
+        Returns the deployment's bounds.
     """
 
     def __init__(
-        self, *, owner: Owner, configuration: Callable[[], Configuration | None]
+        self,
+        *,
+        owner: Owner,
+        configuration: Callable[[], Configuration | None],
+        bounds: Callable[[], Bounds],
     ):
         self._owner = owner
         self._configuration = configuration
+        self._bounds = bounds
         self._wake = asyncio.Event()
         self._connection: HttpConnection | None = None
         self._silent = 0
@@ -108,7 +116,7 @@
         if limits is None:
             return
         self._owner.admission.max_connections = limits.max_connections
-        self._owner.admission.cold_per_s = limits.cold_per_s
+        self._apply_cold_limits(limits)
         was_sound = belief.reachable and belief.verified
         try:
             answer = await self._probe(limits.health_path)
@@ -130,6 +138,15 @@
             self._blame()
         self._owner.refresh()
 
+    def _apply_cold_limits(self, limits: ServiceLimits) -> None:
+        bounds = self._bounds()
+        self._owner.admission.cold_start_ms = limits.cold_start_ms
+        self._owner.admission.cold_limit = compute_cold_limit(
+            cold_per_s=limits.cold_per_s,
+            overshoot=bounds.cold_overshoot,
+            slack=bounds.cold_slack,
+        )
+
     async def _probe(self, path: str) -> HttpAnswer:
         address = self._owner.parts.pool.address
         headers = [(b"host", address.encode())]
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -82,11 +82,14 @@
         Connections that an endpoint accepts.
     cold_per_s : float
         Requests per second that an endpoint bears while it is cold.
+    cold_start_ms : float
+        How long it is cold after its start.
     """
 
     health_path: str
     max_connections: int
     cold_per_s: float
+    cold_start_ms: float
 
 
 @_frozen
@@ -282,12 +285,17 @@
         Repeats allowed besides, over all daemons.
     retry_window_ms : float
         Sliding window of both.
+    cold_overshoot, cold_slack : float
+        A cold endpoint may get this multiple of its rate and so many requests more in
+        any second.
     """
 
     grace_ms: float
     retry_ratio: float
     retry_slack: float
     retry_window_ms: float
+    cold_overshoot: float
+    cold_slack: float
 
 
 @_frozen
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -118,7 +118,7 @@
         measure: Callable[[], Awaitable[None]],
     ):
         self.parts = parts
-        self.admission = AdmissionState()
+        self.admission = AdmissionState(began_ms=parts.clock.now_ms())
         self.speed = EndpointSpeed()
         self.stopping = False
         self.broken_fingerprints: dict[str, float] = {}
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -188,6 +188,8 @@
             "retry_ratio": 0.2,
             "retry_slack": 58,
             "retry_window_s": 10,
+            "cold_overshoot": 1.5,
+            "cold_slack": 5,
         },
     }
     return msgspec.json.encode(document)
