Let calls wait out a slow moment of their endpoint

Under overload calls wait at owners that are all busy, and the next one began whenever a slot was free, also while the endpoint was four times slower: it then held the slots of four others. The queue is held now while the last figure is slow, which is read again every 20 ms; a call whose wait ends is refused, unless nothing runs there. An owner that refused only because it was slow and has slots to spare is asked again when no other one took the call.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -12,6 +12,7 @@
     "AdmissionState",
     "CallTicket",
     "RefusalReason",
+    "admit_late",
     "admit_next",
     "begin",
     "compute_cold_limit",
@@ -268,6 +269,31 @@
     return ticket
 
 
+def admit_late(state: AdmissionState, ticket: CallTicket, *, now_ms: float) -> bool:
+    """Send a call whose wait is over although the endpoint is slow, if it runs nothing.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        State of admission.
+    ticket : CallTicket
+        A call that `expire` returned.
+    now_ms : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    bool
+        Whether it was admitted; it counts as running until `end`.
+    """
+    if state.blocked is not None or state.running:
+        return False
+    if state.is_cold(now_ms=now_ms) and _cold_room(state, now_ms=now_ms) <= 0:
+        return False
+    begin(state, ticket, now_ms=now_ms)
+    return True
+
+
 def begin(state: AdmissionState, ticket: CallTicket, *, now_ms: float) -> None:
     """Count a call as sent and running."""
     check_invariant(ticket.id not in state.running, "a call is sent once")
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_speed.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_speed.py
@@ -62,10 +62,23 @@
         """Tell whether the figure is recent enough to begin a run."""
         return now_ms - self.measured_ms <= FRESH_MS
 
-    def is_slow(self, *, now_ms: float) -> bool:
-        """Tell whether a run that begins now would take much longer than usual."""
-        limit_percent = SLOW_FACTOR * self.usual_percent
-        return self.is_fresh(now_ms=now_ms) and self.percent >= limit_percent
+    def is_slow(self, *, now_ms: float, within_ms: float = FRESH_MS) -> bool:
+        """Tell whether a run that begins now would take much longer than usual.
+
+        Parameters
+        ----------
+        now_ms : float
+            Current time in milliseconds.
+        within_ms : float
+            Age up to which the figure counts.
+
+        Returns
+        -------
+        bool
+            False if the figure is older.
+        """
+        is_known = now_ms - self.measured_ms <= within_ms
+        return is_known and self.percent >= SLOW_FACTOR * self.usual_percent
 
     def estimate_percent(self, *, now_ms: float) -> float:
         """Estimate the speed at this moment from the age of the figure."""
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -8,6 +8,7 @@
 from vanillapitch_core.quarantine import compute_fingerprint
 from vanillapitch_wire.relay import Reply
 
+from vanillapitch_relay.admission import RefusalReason
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.http_answers import make_answer
 from vanillapitch_relay.http_client import (
@@ -42,6 +43,9 @@
 # endpoints come back together; being held so long costs its caller nothing.
 HOLD_SHARE = 1 / 8
 HOLD_STEP_MS = 5.0
+# A slow endpoint that uses more than this share of its limit has calls of its own that
+# wait for a better moment.
+IDLE_SHARE = 0.5
 # With less time left, another endpoint could not answer before the deadline.
 MIN_REPEAT_MS = 20.0
 STATUS_NOT_RUN = 503
@@ -216,19 +220,17 @@
             return self._refuse(progress, "deadline_not_run"), "deadline_not_run"
 
     async def _try_owners(self, progress: Progress) -> tuple[HttpAnswer, str]:
+        reason = "no_endpoint"
         while True:
             node = await self._choose_or_wait(progress)
             if node is None:
-                reason = "overloaded" if progress.refusals else "no_endpoint"
                 return self._end_without(progress, reason), reason
             progress.asked.add(node)
             reply = await self._call(progress, node)
             ending = Ending(reply.ending)
             if ending is Ending.REFUSED:
-                progress.refusals += 1
-                self._metrics.count_retry(f"refused_{reply.reason}")
-                if progress.refusals >= MAX_OWNERS_ASKED:
-                    return self._end_without(progress, reply.reason), reply.reason
+                self._note_refusal(progress, node, reply)
+                reason = reply.reason
                 continue
             progress.arrivals += 1
             if ending is not Ending.REJECTED:
@@ -236,15 +238,33 @@
             if not self._may_repeat(progress, ending, reply):
                 return self._conclude(progress, ending, reply), reply.reason
 
+    def _note_refusal(self, progress: Progress, node: str, reply: Reply) -> None:
+        progress.refusals += 1
+        is_idle = reply.report.in_flight <= IDLE_SHARE * reply.report.limit
+        if reply.reason == RefusalReason.SLOW and is_idle:
+            progress.slow_node = node
+        self._metrics.count_retry(f"refused_{reply.reason}")
+
     async def _choose_or_wait(self, progress: Progress) -> str | None:
         """Choose an owner; while none is known, wait shortly for the first."""
+        if progress.refusals >= MAX_OWNERS_ASKED:
+            return self._return_to_slow(progress)
         until_ms = progress.arrived_ms + HOLD_SHARE * progress.route.objective_ms
         while True:
             node = self._choose(progress)
-            if node is not None or progress.asked or self._clock.now_ms() >= until_ms:
+            if node is not None:
                 return node
+            if progress.asked or self._clock.now_ms() >= until_ms:
+                return self._return_to_slow(progress)
             await asyncio.sleep(HOLD_STEP_MS / 1_000.0)
 
+    def _return_to_slow(self, progress: Progress) -> str | None:
+        """Choose the owner that expected another one to do better; none did."""
+        node, progress.slow_node = progress.slow_node, None
+        progress.has_alternative = False
+        is_linked = node in self._hub.links_by_node or node == self._settings.node
+        return node if is_linked else None
+
     def _choose(self, progress: Progress) -> str | None:
         now_ms = self._clock.now_ms()
         candidates = []
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -47,6 +47,10 @@
 
 # A health check of an endpoint that is not full takes up to 6 ms.
 MEASURE_TIMEOUT_MS = 15.0
+# While calls wait out a slow moment, the figure is read again after this time; without
+# an answer for `HOLD_MS` they go on.
+HOLD_CHECK_MS = 20.0
+HOLD_MS = 60.0
 # Below this, an endpoint cannot answer in time.
 MIN_REMAINING_MS = 5.0
 _BLOCKED_BY_STATE = {
@@ -311,29 +315,45 @@
 
     def _pump(self) -> None:
         now_ms = self._now_ms()
-        blocked = self.admission.blocked
+        # Calls wait out a slow moment in the queue: a run that begins in it takes the
+        # slots of several.
+        is_held = self.speed.is_slow(now_ms=now_ms, within_ms=HOLD_MS)
+        refusal = self.admission.blocked or RefusalReason.OVERLOADED
         for ticket in admission.expire(self.admission, now_ms=now_ms):
-            self._settle(ticket, blocked or RefusalReason.OVERLOADED)
-        while (
+            is_sent = is_held and admission.admit_late(
+                self.admission, ticket, now_ms=now_ms
+            )
+            self._settle(ticket, None if is_sent else refusal)
+        while not is_held and (
             ticket := admission.admit_next(self.admission, now_ms=now_ms)
-        ) is not None:
+        ):
             self._settle(ticket, None)
-        self._arm_timer(now_ms=now_ms)
+        self._arm_timer(now_ms=now_ms, is_held=is_held)
 
     def _settle(self, ticket: CallTicket, reason: RefusalReason | None) -> None:
         admitted = self._admitted_by_id.get(ticket.id)
         if admitted is not None and not admitted.done():
             admitted.set_result(reason)
 
-    def _arm_timer(self, *, now_ms: float) -> None:
+    def _arm_timer(self, *, now_ms: float, is_held: bool) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         next_ms = admission.next_event_ms(self.admission, now_ms=now_ms)
+        if next_ms is not None and is_held:
+            next_ms = min(next_ms, self._remeasure(now_ms=now_ms))
         if next_ms is not None:
             delay_s = max(1.0, next_ms - now_ms) / 1_000.0
             self._timer = asyncio.get_running_loop().call_later(delay_s, self._pump)
 
+    def _remeasure(self, *, now_ms: float) -> float:
+        """Ask for a figure if the last one is old; return when to do so again."""
+        due_ms = self.speed.measured_ms + HOLD_CHECK_MS
+        if now_ms < due_ms:
+            return due_ms
+        self._examine()
+        return now_ms + HOLD_CHECK_MS
+
     async def _send(self, call: Call, *, arrived_ms: float) -> Reply:
         pool = self.parts.pool
         try:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
@@ -48,6 +48,8 @@
         Whether an owner has it now.
     has_alternative : bool
         Whether another owner would be asked after the one chosen last.
+    slow_node : str or None
+        Owner that refused it only because its endpoint, though idle, was slow.
     """
 
     request: HttpRequest
@@ -65,6 +67,7 @@
     refusals: int = 0
     under_way: bool = False
     has_alternative: bool = False
+    slow_node: str | None = None
 
 
 def make_call(
--- a/packages/vanillapitch-relay/tests/test_endpoint_speed.py
+++ b/packages/vanillapitch-relay/tests/test_endpoint_speed.py
@@ -78,6 +78,43 @@
     assert [answer.status for answer in answers] == [200] * 10
 
 
+def test_calls_wait_out_a_slow_moment(run_fleet):
+    # Seen on ishikari-baling scale-1: under overload, runs that began in a slow moment
+    # held the slots of four others.
+    async def scenario(fleet):
+        only = fleet.vms[2].endpoint
+        await fleet.call("/stock/a")
+        only.speed_percent = 400
+        await fleet.vms[2].daemon._measure()
+        waiting = asyncio.create_task(fleet.call("/stock/b"))
+        await asyncio.sleep(0.08)
+        begun = len(only.runs)
+        only.speed_percent = 100
+        return await waiting, begun, len(only.runs)
+
+    answer, before, after = run_fleet(scenario)
+    assert answer.status == 200
+    assert (before, after) == (1, 2)
+
+
+def test_a_slow_endpoint_runs_what_no_other_one_takes(run_fleet):
+    # Guards against a refusal while the endpoint that was asked first is idle.
+    async def scenario(fleet):
+        slow, busy = fleet.vms
+        long = asyncio.create_task(fleet.call("/shop/long?work_ms=1200", vm=1))
+        await fleet.wait_until(lambda: busy.endpoint.runs)
+        await asyncio.sleep(0.05)
+        slow.endpoint.speed_percent = 400
+        answers = [await fleet.call(f"/shop/{number}") for number in range(3)]
+        await long
+        return answers, len(slow.endpoint.runs)
+
+    service = ServiceSpec(name="shop", zones=("a", "b"), slots=1)
+    answers, runs = run_fleet(scenario, services=(service,))
+    assert [answer.status for answer in answers] == [200] * 3
+    assert runs == 3
+
+
 def test_a_health_check_that_hangs_holds_no_call(run_fleet):
     # Guards against calls that wait for a figure longer than it is worth.
     async def scenario(fleet):
