--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_explain.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_explain.py
@@ -31,6 +31,7 @@
     "leaving": "the endpoint was leaving",
     "zone_out": "the endpoint's availability zone was out of service",
     "cold": "the endpoint was cold and had its rate already",
+    "slow": "the endpoint was slow at that moment and no other one was left",
 }
 
 
