Split requests to endpoints and the reading of answers from the owner

Building a request and judging an answer need no state, so they are functions of a module of their own. Behaviour is unchanged; the relay's tests pass.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -7,11 +7,17 @@
 from collections.abc import Awaitable, Callable
 
 from vanillapitch_core.clock import Clock
-from vanillapitch_wire.relay import Call, EndpointReport, HeaderField, Reply
+from vanillapitch_wire.relay import Call, EndpointReport, Reply
 
 from vanillapitch_relay import admission
 from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
 from vanillapitch_relay.breaker import Breaker
+from vanillapitch_relay.endpoint_messages import (
+    STATUS_OTHER_INSTANCE,
+    build_request,
+    judge_answer,
+    put_answer,
+)
 from vanillapitch_relay.endpoint_pool import EndpointPool
 from vanillapitch_relay.endpoint_speed import EndpointSpeed
 from vanillapitch_relay.endpoint_state import (
@@ -31,7 +37,6 @@
     Headers,
     HttpAnswer,
     HttpConnection,
-    HttpRequest,
     find_header,
 )
 from vanillapitch_relay.line_log import EventLog
@@ -374,7 +379,12 @@
     async def _exchange(
         self, call: Call, connection: HttpConnection, *, remaining_ms: float
     ) -> Reply:
-        request = self._build_request(call, remaining_ms=remaining_ms)
+        request = build_request(
+            call,
+            names=self.parts.dialect.headers,
+            instance=self.parts.belief.instance,
+            remaining_ms=remaining_ms,
+        )
         try:
             async with asyncio.timeout(remaining_ms / 1_000.0):
                 answer = await connection.exchange(request)
@@ -401,49 +411,16 @@
         self._record(failed=True)
         self._examine()
 
-    def _build_request(self, call: Call, *, remaining_ms: float) -> HttpRequest:
-        names = self.parts.dialect.headers
-        headers: Headers = [
-            (field.name.encode("latin-1"), field.value.encode("latin-1"))
-            for field in call.headers
-        ]
-        headers.append((names.deadline, str(int(remaining_ms)).encode()))
-        instance = self.parts.belief.instance.encode("latin-1")
-        headers.append((names.expected_instance, instance))
-        return HttpRequest(
-            method=call.method,
-            target=call.target,
-            headers=headers,
-            body=call.body,
-            request_id=call.request_id.encode("latin-1"),
-        )
-
     def _classify_answer(self, call: Call, answer: HttpAnswer) -> Reply:
-        names = self.parts.dialect.headers
         self.learn_load(answer.headers)
-        if find_header(answer.headers, names.not_executed) or answer.status == 421:
-            self._record(failed=True)
-            if answer.status == 421:
-                self._examine()
-            return self._reply(call, Ending.REJECTED, "not_executed")
-        encoding = find_header(answer.headers, b"content-encoding")
-        if encoding not in (None, b"identity"):
-            self._record(failed=True)
-            return self._reply(call, Ending.FAILED, "answer_encoded")
-        is_success = 200 <= answer.status < 300
-        if is_success and find_header(answer.headers, names.signature) is None:
-            self._record(failed=True)
-            return self._reply(call, Ending.FAILED, "answer_unsigned")
-        self._record(failed=answer.status >= 500)
-        self.parts.quarantine.clear(call.fingerprint)
-        reply = self._reply(call, Ending.ANSWERED, "")
-        reply.status = answer.status
-        reply.phrase = answer.phrase
-        reply.headers = [
-            HeaderField(name=name.decode("latin-1"), value=value.decode("latin-1"))
-            for name, value in answer.headers
-        ]
-        reply.body = answer.body
+        verdict = judge_answer(answer, names=self.parts.dialect.headers)
+        self._record(failed=verdict.failed)
+        if answer.status == STATUS_OTHER_INSTANCE:
+            self._examine()
+        reply = self._reply(call, verdict.ending, verdict.reason)
+        if verdict.ending is Ending.ANSWERED:
+            self.parts.quarantine.clear(call.fingerprint)
+            put_answer(reply, answer)
         return reply
 
     def learn_load(self, headers: Headers) -> None:
