Split the rate of cold endpoints from admission

Behaviour is unchanged; a test was added for an endpoint that turns cold with more sends behind it than its rate allows, which the move had broken.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -1,13 +1,13 @@
 """Decisions of an owner: which calls its endpoint gets, and when."""
 
 import bisect
-import collections
 import dataclasses
 import enum
-import math
 
 from vanillapitch_core.exceptions import check_invariant
 
+from vanillapitch_relay.cold_rate import ColdRate
+
 __all__ = [
     "AdmissionState",
     "CallTicket",
@@ -15,7 +15,6 @@
     "admit_late",
     "admit_next",
     "begin",
-    "compute_cold_limit",
     "end",
     "estimate_wait_ms",
     "expire",
@@ -40,15 +39,6 @@
 LATENCY_WEIGHT = 0.1
 # Before the first answer, milliseconds.
 INITIAL_LATENCY_MS = 50.0
-# A second, and the time by which a send on a new connection or a busy event loop may
-# come later than its admission.
-COLD_WINDOW_MS = 1_100.0
-# Share of the slack of the cold rate that is used. The rest is for requests that arrive
-# later than they were sent.
-COLD_SLACK_SHARE = 0.5
-# The platform starts a process again half a second after its end, and the imports take
-# a tenth, so no earlier process sent anything for so long before this one began.
-RESTART_GAP_MS = 400.0
 
 
 class RefusalReason(enum.StrEnum):
@@ -105,22 +95,14 @@
         Connections that it accepts.
     blocked : RefusalReason or None
         Why it gets nothing at all.
-    cold_until_ms : float
-        Until when it is cold.
-    cold_start_ms : float
-        How long it is cold after its start.
-    cold_limit : int
-        Requests in any second while cold.
-    began_ms : float
-        When this process began to admit; an earlier one may have sent before.
+    cold : ColdRate
+        What it may get while it is cold.
     running : set of int
         Tickets of calls at the endpoint.
     waiting : list of CallTicket
         In the order in which they are admitted.
     latency_ms : float
         Moving average of the endpoint's execution time.
-    sent_at_ms : deque of float
-        Times of the sends of the last second.
     failing : bool
         Whether it fails its requests, so that only one is tried at a time.
     """
@@ -128,16 +110,10 @@
     slots: int = 1
     max_connections: int = 1
     blocked: RefusalReason | None = RefusalReason.UNKNOWN_ENDPOINT
-    cold_until_ms: float = 0.0
-    cold_start_ms: float = 0.0
-    cold_limit: int = 0
-    began_ms: float = -math.inf
+    cold: ColdRate = dataclasses.field(default_factory=ColdRate)
     running: set[int] = dataclasses.field(default_factory=set)
     waiting: list[CallTicket] = dataclasses.field(default_factory=list)
     latency_ms: float = INITIAL_LATENCY_MS
-    sent_at_ms: collections.deque[float] = dataclasses.field(
-        default_factory=collections.deque
-    )
     failing: bool = False
 
     @property
@@ -148,16 +124,10 @@
         limit = int(min(self.slots * LIMIT_SHARE, self.max_connections - 1))
         return max(1, limit)
 
-    def is_cold(self, *, now_ms: float) -> bool:
-        """Tell whether the endpoint bears only its cold rate."""
-        return now_ms < self.cold_until_ms
-
     def limit_now(self, *, now_ms: float) -> int:
         """Return how many may run at once within the cold rate, 0 when it is used."""
-        if not self.is_cold(now_ms=now_ms):
-            return self.limit
-        room = max(0, _cold_room(self, now_ms=now_ms))
-        return min(self.limit, len(self.running) + room)
+        room = self.cold.find_room(now_ms=now_ms)
+        return int(min(self.limit, len(self.running) + room))
 
 
 def wait_limit_ms(
@@ -184,24 +154,6 @@
     return max(0.0, min(max(useful_ms, least_ms), remaining_ms))
 
 
-def compute_cold_limit(*, cold_per_s: float, overshoot: float, slack: float) -> int:
-    """Compute how many requests a cold endpoint may get in any second.
-
-    Parameters
-    ----------
-    cold_per_s : float
-        Rate that the service names.
-    overshoot, slack : float
-        The deployment's bounds on it.
-
-    Returns
-    -------
-    int
-        Requests.
-    """
-    return int(cold_per_s * overshoot + COLD_SLACK_SHARE * slack)
-
-
 def estimate_wait_ms(
     state: AdmissionState, ticket: CallTicket, *, now_ms: float
 ) -> float:
@@ -209,7 +161,7 @@
     ahead = bisect.bisect_right(state.waiting, _rank(ticket), key=_rank)
     free = state.limit - len(state.running)
     wait_ms = max(0, ahead - free + 1) * state.latency_ms / state.limit
-    return max(wait_ms, _cold_wait_ms(state, ahead=ahead, now_ms=now_ms))
+    return max(wait_ms, state.cold.find_wait_ms(ahead=ahead, now_ms=now_ms))
 
 
 def offer(
@@ -235,7 +187,7 @@
         return state.blocked
     wait_ms = estimate_wait_ms(state, ticket, now_ms=now_ms)
     if now_ms + wait_ms > ticket.wait_until_ms:
-        is_cold = state.is_cold(now_ms=now_ms)
+        is_cold = state.cold.is_cold(now_ms=now_ms)
         return RefusalReason.COLD if is_cold else RefusalReason.OVERLOADED
     if len(state.waiting) >= QUEUE_LIMIT_FACTOR * state.limit:
         return RefusalReason.OVERLOADED
@@ -262,7 +214,7 @@
         return None
     if len(state.running) >= state.limit:
         return None
-    if state.is_cold(now_ms=now_ms) and _cold_room(state, now_ms=now_ms) <= 0:
+    if not state.cold.find_room(now_ms=now_ms):
         return None
     ticket = state.waiting.pop(0)
     begin(state, ticket, now_ms=now_ms)
@@ -288,7 +240,7 @@
     """
     if state.blocked is not None or state.running:
         return False
-    if state.is_cold(now_ms=now_ms) and _cold_room(state, now_ms=now_ms) <= 0:
+    if not state.cold.find_room(now_ms=now_ms):
         return False
     begin(state, ticket, now_ms=now_ms)
     return True
@@ -298,8 +250,7 @@
     """Count a call as sent and running."""
     check_invariant(ticket.id not in state.running, "a call is sent once")
     state.running.add(ticket.id)
-    _forget_old_sends(state, now_ms=now_ms)
-    state.sent_at_ms.append(now_ms)
+    state.cold.record_send(now_ms=now_ms)
     check_invariant(len(state.running) <= state.slots, "the slots are kept")
 
 
@@ -344,53 +295,11 @@
     if not state.waiting:
         return None
     next_ms = min(ticket.wait_until_ms for ticket in state.waiting)
-    cold_wait_ms = _cold_wait_ms(state, ahead=0, now_ms=now_ms)
+    cold_wait_ms = state.cold.find_wait_ms(ahead=0, now_ms=now_ms)
     if cold_wait_ms > 0.0:
         next_ms = min(next_ms, now_ms + cold_wait_ms)
     return next_ms
 
 
-def _cold_wait_ms(state: AdmissionState, *, ahead: int, now_ms: float) -> float:
-    """Return when the cold rate admits a call behind `ahead` others."""
-    if not state.is_cold(now_ms=now_ms):
-        return 0.0
-    missing = ahead + 1 - _cold_room(state, now_ms=now_ms)
-    if missing <= 0:
-        return 0.0
-    # A send leaves the window a second after it; those after the last one here are
-    # not known yet.
-    if _is_unsure_of_sends(state, now_ms=now_ms):
-        until_ms = _sure_from_ms(state)
-    elif state.sent_at_ms:
-        index = min(missing, len(state.sent_at_ms)) - 1
-        until_ms = state.sent_at_ms[index] + COLD_WINDOW_MS
-    else:
-        until_ms = state.cold_until_ms
-    return max(0.0, min(until_ms, state.cold_until_ms) - now_ms)
-
-
-def _cold_room(state: AdmissionState, *, now_ms: float) -> int:
-    _forget_old_sends(state, now_ms=now_ms)
-    if _is_unsure_of_sends(state, now_ms=now_ms):
-        return 0
-    return state.cold_limit - len(state.sent_at_ms)
-
-
-def _is_unsure_of_sends(state: AdmissionState, *, now_ms: float) -> bool:
-    """Tell whether an earlier process may have used the rate of the last second."""
-    cold_began_ms = state.cold_until_ms - state.cold_start_ms
-    is_older = cold_began_ms < state.began_ms - RESTART_GAP_MS
-    return is_older and now_ms < _sure_from_ms(state)
-
-
-def _sure_from_ms(state: AdmissionState) -> float:
-    return state.began_ms - RESTART_GAP_MS + COLD_WINDOW_MS
-
-
-def _forget_old_sends(state: AdmissionState, *, now_ms: float) -> None:
-    while state.sent_at_ms and state.sent_at_ms[0] <= now_ms - COLD_WINDOW_MS:
-        state.sent_at_ms.popleft()
-
-
 def _rank(ticket: CallTicket) -> tuple[int, bool, float]:
     return (ticket.priority, ticket.is_late, ticket.due_ms)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from vanillapitch_relay.admission import compute_cold_limit
+from vanillapitch_relay.cold_rate import compute_cold_limit
 from vanillapitch_relay.endpoint_state import (
     EndpointBelief,
     HealthAnswer,
@@ -140,8 +140,9 @@
 
     def _apply_cold_limits(self, limits: ServiceLimits) -> None:
         bounds = self._bounds()
-        self._owner.admission.cold_start_ms = limits.cold_start_ms
-        self._owner.admission.cold_limit = compute_cold_limit(
+        cold = self._owner.admission.cold
+        cold.start_ms = limits.cold_start_ms
+        cold.limit = compute_cold_limit(
             cold_per_s=limits.cold_per_s,
             overshoot=bounds.cold_overshoot,
             slack=bounds.cold_slack,
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -12,6 +12,7 @@
 from vanillapitch_relay import admission
 from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
 from vanillapitch_relay.breaker import Breaker
+from vanillapitch_relay.cold_rate import ColdRate
 from vanillapitch_relay.endpoint_messages import (
     STATUS_OTHER_INSTANCE,
     build_request,
@@ -127,7 +128,7 @@
         measure: Callable[[], Awaitable[None]],
     ):
         self.parts = parts
-        self.admission = AdmissionState(began_ms=parts.clock.now_ms())
+        self.admission = AdmissionState(cold=ColdRate(began_ms=parts.clock.now_ms()))
         self.speed = EndpointSpeed()
         self.stopping = False
         self.broken_fingerprints: dict[str, float] = {}
@@ -171,7 +172,7 @@
         state = self._consider_failures(state, now_ms=now_ms)
         self.admission.blocked = _BLOCKED_BY_STATE[state]
         self.admission.slots = max(1, belief.slots)
-        self.admission.cold_until_ms = belief.cold_until_ms
+        self.admission.cold.until_ms = belief.cold_until_ms
         if state is not self._state:
             _log.info(
                 "endpoint_state",
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from vanillapitch_relay import admission
 from vanillapitch_relay.admission import AdmissionState, CallTicket, RefusalReason
 from vanillapitch_relay.breaker import Breaker
+from vanillapitch_relay.cold_rate import ColdRate, compute_cold_limit
 from vanillapitch_relay.failure_share import FailureShare
 from vanillapitch_relay.model import (
     ClientLimits,
@@ -335,10 +336,8 @@
         admission.offer(state, make_ticket(number), now_ms=now_ms)
         admission.admit_next(state, now_ms=now_ms)
         admission.end(state, make_ticket(number), latency_ms=1.0)
-    state.cold_until_ms = 1e9
-    state.cold_limit = admission.compute_cold_limit(
-        cold_per_s=20.0, overshoot=1.5, slack=5.0
-    )
+    state.cold.until_ms = 1e9
+    state.cold.limit = compute_cold_limit(cold_per_s=20.0, overshoot=1.5, slack=5.0)
     times_ms = []
     for number, gap_ms in enumerate(gaps_ms):
         now_ms += gap_ms
@@ -355,9 +354,9 @@
 
 
 def cold_state(sent_at_ms):
-    state = make_state(cold_until_ms=1e9, cold_limit=5)
-    state.sent_at_ms.extend(sent_at_ms)
-    return state
+    cold = ColdRate(until_ms=1e9, limit=5)
+    cold.sent_at_ms.extend(sent_at_ms)
+    return make_state(cold=cold)
 
 
 def test_a_call_waits_for_the_rate_of_a_cold_endpoint():
@@ -376,6 +375,14 @@
     assert admission.admit_next(state, now_ms=1_200.0).id == 3
 
 
+def test_sends_while_warm_count_for_an_endpoint_that_turns_cold():
+    # Guards against calls that wait although they cannot be sent in time.
+    cold = cold_state([0.0, 100.0, 200.0, 300.0, 400.0, 500.0, 600.0]).cold
+    assert cold.find_room(now_ms=650.0) == 0
+    assert cold.find_wait_ms(ahead=0, now_ms=650.0) == 650.0
+    assert cold.find_wait_ms(ahead=2, now_ms=650.0) == 850.0
+
+
 def test_a_cold_endpoint_without_room_shows_no_limit():
     # Seen on hanul-mesh-grown trouble-1: a cold endpoint that had used up its rate
     # looked idle, and most calls of its service were sent there and refused.
@@ -391,12 +398,13 @@
 def test_a_new_process_expects_sends_of_the_one_before(cold_began_ms, sure_from_ms):
     # Guards against a cold endpoint that gets the rate of two processes in one second;
     # one that has started after the process before ended cannot have had any.
-    state = make_state(
+    cold = ColdRate(
         began_ms=10_000.0,
-        cold_start_ms=3_000.0,
-        cold_until_ms=cold_began_ms + 3_000.0,
-        cold_limit=5,
+        start_ms=3_000.0,
+        until_ms=cold_began_ms + 3_000.0,
+        limit=5,
     )
+    state = make_state(cold=cold)
     ticket = make_ticket(1, wait_until_ms=11_000.0)
     assert admission.offer(state, ticket, now_ms=10_000.0) is None
     if sure_from_ms > 10_000.0:
@@ -408,7 +416,7 @@
 def test_the_end_of_a_cold_start_ends_the_wait():
     # Guards against calls that wait for the rate of an endpoint that has warmed up.
     state = cold_state([900.0] * 5)
-    state.cold_until_ms = 1_000.0
+    state.cold.until_ms = 1_000.0
     ticket = make_ticket(1, wait_until_ms=1_050.0)
     assert admission.offer(state, ticket, now_ms=950.0) is None
     assert admission.next_event_ms(state, now_ms=950.0) == 1_000.0
