Keep the exit code and the trigger's descriptor when a daemon stops

Change: the signals are blocked before the loop closes and stay pending until the exit. The server waits for its workers within the time limit of its stop and leaves the trigger open when one remains.

Ruled out: removing the handlers and ignoring the signals at once, since closing the loop removes handlers again.

Result: both windows are forced by tests.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/admin/_server.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/admin/_server.py
@@ -19,6 +19,8 @@
 _IDLE_TIMEOUT_S = 30
 _LOOP_TIMEOUT_S = 1.0
 _DRAIN_POLL_INTERVAL_S = 0.02
+# Workers that are idle end within this time.
+_WORKER_EXIT_MIN_S = 0.1
 
 
 class AdminServer:
@@ -87,7 +89,13 @@
         deadline_s = time.monotonic() + self._drain_timeout_ms / 1000
         while self._is_busy() and time.monotonic() < deadline_s:
             self._poll(timeout_s=_DRAIN_POLL_INTERVAL_S)
-        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.1)
+        workers = self._server.task_dispatcher
+        remaining_s = max(_WORKER_EXIT_MIN_S, deadline_s - time.monotonic())
+        workers.shutdown(cancel_pending=True, timeout=remaining_s)
+        if workers.threads:
+            # A worker wakes this loop through the trigger after each request. Closing
+            # the trigger would free the descriptor that the worker still writes to.
+            self._server.trigger.del_channel(self._sockets_by_fd)
         wasyncore.close_all(self._sockets_by_fd, ignore_all=True)
 
     def _poll(self, *, timeout_s: float) -> None:
--- a/packages/vanillapitch-daemon/tests/test_admin.py
+++ b/packages/vanillapitch-daemon/tests/test_admin.py
@@ -1,5 +1,6 @@
 """Tests of the administration API over HTTP."""
 
+import http.client
 import threading
 import time
 
@@ -219,3 +220,36 @@
     address = Address(f"127.0.0.1:{running_admin.free_port()}")
     for _ in range(2):
         AdminServer(application=lambda *_: [], address=address).stop()
+
+
+@pytest.mark.parametrize("pull_delay_s", [0.4, 3.0])
+def test_a_worker_never_wakes_a_closed_trigger(running_admin, pull_delay_s):
+    # Guards against a stop that closes the trigger of the server between the end of a
+    # request and the wake-up that its worker sends: the descriptor may be in use by
+    # another file by then. The longer delay exceeds the time limit of the stop.
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    port = running_admin.free_port()
+    server = AdminServer(application=application, address=Address(f"127.0.0.1:{port}"))
+    trigger = server._server.trigger
+    closed_at_pull = []
+    pulled = threading.Event()
+
+    def pull_late():
+        if threading.current_thread().name.startswith("waitress"):
+            time.sleep(pull_delay_s)
+            closed_at_pull.append(trigger._closed)
+            pulled.set()
+        trigger.pull_trigger()
+
+    server._server.pull_trigger = pull_late
+    server.start()
+    connection = http.client.HTTPConnection("127.0.0.1", port)
+    connection.request("GET", "/")
+    assert connection.getresponse().status == 200
+    connection.close()
+    server.stop(timeout_ms=1_000)
+    assert pulled.wait(2 * pull_delay_s)
+    assert closed_at_pull == [False]
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -59,6 +59,7 @@
 # Delay between attempts to read the store at start. Failed calls are billed too.
 START_RETRY_INTERVAL_MS = 300.0
 BACKLOG = 1_024
+_HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def run_daemon(
@@ -230,10 +231,9 @@
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         await self.serve()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            loop.remove_signal_handler(number)
-            # The default action would end the process before its exit code is set.
-            signal.signal(number, signal.SIG_IGN)
+        # Closing the loop restores the default actions. A signal that arrives afterwards
+        # would end the process before its exit code is set, so it stays pending instead.
+        signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
 
     def request_stop(self) -> None:
         """Start a graceful stop; idempotent."""
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -19,6 +19,7 @@
 
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
+_RUN_DAEMON = "import sys; from vanillapitch_adapter.main import main; sys.exit(main())"
 
 
 class ProcessFleet(SimulatedFleet):
@@ -36,8 +37,16 @@
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._pidfds: dict[str, int] = {}
 
-    async def start_daemon(self, vm: Vm) -> None:
-        """Start the program that the deployment runs, with the log in a file."""
+    async def start_daemon(self, vm: Vm, *, script: str = _RUN_DAEMON) -> None:
+        """Start the program that the deployment runs, with the log in a file.
+
+        Parameters
+        ----------
+        vm : Vm
+            The VM.
+        script : str
+            Python source that runs the daemon.
+        """
         folder = pathlib.Path(self._folder.name)
         path = folder / f"{vm.settings.node}.json"
         path.write_bytes(vm.document)
@@ -45,7 +54,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-c",
-            "import sys; from vanillapitch_adapter.main import main; sys.exit(main())",
+            script,
             stdout=log,
             stderr=log,
             env={**os.environ, "VANILLAPITCH_BOOT": str(path)},
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -72,6 +72,33 @@
     assert run_processes(scenario) == 0
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_a_signal_while_the_loop_closes_keeps_the_exit_code(number):
+    # Guards against a signal between the moment at which the event loop restores its
+    # default action and the exit: the exit code is then the negative signal number.
+    script = f"""
+import asyncio.unix_events as loops, os, sys
+from vanillapitch_adapter.main import main
+restore = loops._UnixSelectorEventLoop.remove_signal_handler
+def restore_and_signal(loop, number):
+    result = restore(loop, number)
+    os.kill(os.getpid(), {int(number)})
+    return result
+loops._UnixSelectorEventLoop.remove_signal_handler = restore_and_signal
+sys.exit(main())
+"""
+
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        await fleet.kill_daemon(vm)
+        await fleet.start_daemon(vm, script=script)
+        await fleet.wait_until_connected()
+        fleet.signal(vm, signal.SIGTERM)
+        return await fleet.wait_for_exit(vm)
+
+    assert run_processes(scenario) == 0
+
+
 def test_signals_do_not_reap_a_process():
     # Guards against a signal call that reaps a process which is just exiting: its exit
     # code is then lost to the waiter in the event loop, which reports 255.
