Keep calls whose owner stops answering pings

The owner may only be slow or behind a full link: its endpoint was cut while it executed a request, and the caller got 502, also when the caller's daemon was stopping.

Change: such a connection is replaced. Calls that may be repeated and have credit in the retry budget move to another endpoint as before; all others wait for their reply on the old connection while it lasts.

Ruled out: a longer time-out of pings, which delays finding a paused owner; keeping all calls, which makes repeatable ones wait for a dead owner.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -231,8 +231,8 @@
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         await self.serve()
-        # Closing the loop restores the default actions. A signal that arrives afterwards
-        # would end the process before its exit code is set, so it stays pending instead.
+        # Closing the loop restores the default actions. A signal that arrives later
+        # would end the process before its exit code is set, so it stays pending.
         signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
 
     def request_stop(self) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -314,7 +314,9 @@
         try:
             if node == self._settings.node:
                 return await self._owner.execute(call, source=node)
-            return await self._hub.links_by_node[node].call(call)
+            return await self._hub.links_by_node[node].call(
+                call, may_move=lambda: self._may_move(progress)
+            )
         except LinkBroken:
             return Reply(
                 id=call.id,
@@ -330,12 +332,29 @@
             task = asyncio.current_task()
             progress.in_progress = task is not None and task.cancelling() > 0
 
+    def _may_move(self, progress: Progress) -> bool:
+        """Decide whether a call to an unresponsive owner is sent to another one.
+
+        Otherwise, its caller waits for the reply, since the owner may only be slow.
+        """
+        is_movable = (
+            progress.route.idempotent
+            and self._find_limit(progress, arrivals=progress.arrivals + 1) is None
+        )
+        progress.has_retry_credit = is_movable and self._take_retry(progress)
+        return progress.has_retry_credit
+
+    def _take_retry(self, progress: Progress) -> bool:
+        if progress.has_retry_credit:
+            progress.has_retry_credit = False
+            return True
+        return self._budget.take(progress.service, now_ms=self._clock.now_ms())
+
     def _may_retry(self, progress: Progress, ending: Ending, reply: Reply) -> bool:
         """Decide whether the request is sent to another endpoint."""
         reason = self._find_reason_against_retry(progress, ending, reply)
         if reason is None:
-            taken = self._budget.take(progress.service, now_ms=self._clock.now_ms())
-            reason = "repeated" if taken else "no_budget"
+            reason = "repeated" if self._take_retry(progress) else "no_budget"
         self._metrics.count_retry(reason)
         if reason != "answered":
             _log.info(
@@ -354,10 +373,14 @@
     ) -> str | None:
         if ending is Ending.ANSWERED and reply.status < 500:
             return "answered"
-        if progress.arrivals >= progress.route.max_attempts:
-            return "attempts_used"
         if progress.may_have_executed and not progress.route.idempotent:
             return "not_idempotent"
+        return self._find_limit(progress, arrivals=progress.arrivals)
+
+    def _find_limit(self, progress: Progress, *, arrivals: int) -> str | None:
+        """Find the limit, if any, that forbids sending the request once more."""
+        if arrivals >= progress.route.max_attempts:
+            return "attempts_used"
         if self._quarantine.is_suspected(progress.fingerprint):
             return "suspected_crash"
         if progress.deadline_ms - self._clock.now_ms() < MIN_RETRY_MS:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import socket
 from collections.abc import Callable
@@ -107,9 +108,25 @@
             self._transport.abort()
 
 
+def _stay() -> bool:
+    return False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _PendingCall:
+    """A call without a reply, and the connection on which it was sent."""
+
+    connection: FramedConnection
+    future: asyncio.Future[Reply]
+    may_move: Callable[[], bool]
+
+
 class OwnerLink:
     """The link of this daemon's ingress to one owner.
 
+    A connection whose pings are not answered is replaced. Its calls may still be
+    executing, so it is kept for their replies until it ends or none is left.
+
     Parameters
     ----------
     member : MemberInfo
@@ -144,7 +161,8 @@
         self._revision = revision
         self._on_other_message = on_message
         self._connection: FramedConnection | None = None
-        self._futures_by_call_id: dict[int, asyncio.Future[Reply]] = {}
+        self._pending_by_call_id: dict[int, _PendingCall] = {}
+        self._silent_connections: set[FramedConnection] = set()
         self._call_ids = itertools.count(1)
         self._pings = itertools.count(1)
         self._last_received_ms = 0.0
@@ -177,6 +195,8 @@
             self._task.cancel()
         if self._connection is not None:
             self._connection.abort()
+        for connection in self._silent_connections:
+            connection.abort()
 
     def send(self, message: object) -> None:
         """Send a message that is not a call."""
@@ -188,13 +208,17 @@
         if self._connection is not None:
             self._connection.send_frame(frame)
 
-    async def call(self, call: Call) -> Reply:
+    async def call(self, call: Call, *, may_move: Callable[[], bool] = _stay) -> Reply:
         """Send a call and wait for its reply; cancellation is sent to the owner.
 
         Parameters
         ----------
         call : Call
             The call; its id is set here.
+        may_move : callable
+            Called if the owner becomes unresponsive. If it returns true, the call is
+            cancelled and `LinkBroken` is raised. Otherwise, it waits for the reply
+            while the connection lasts.
 
         Returns
         -------
@@ -207,18 +231,27 @@
             If the link ended; the call may have been executed.
         """
         call.id = next(self._call_ids)
-        future = asyncio.get_running_loop().create_future()
-        self._futures_by_call_id[call.id] = future
+        connection = self._connection
+        if connection is None:
+            raise LinkBroken("the link is down")
+        pending = _PendingCall(
+            connection=connection,
+            future=asyncio.get_running_loop().create_future(),
+            may_move=may_move,
+        )
+        self._pending_by_call_id[call.id] = pending
         self.sent_since_report += 1
         self._last_used_ms = self._clock.now_ms()
-        self.send(call)
+        connection.send(call)
         try:
-            return await future
-        except asyncio.CancelledError:
-            self.send(Cancel(id=call.id))
+            return await pending.future
+        except (asyncio.CancelledError, LinkBroken):
+            connection.send(Cancel(id=call.id))
             raise
         finally:
-            self._futures_by_call_id.pop(call.id, None)
+            self._pending_by_call_id.pop(call.id, None)
+            if connection in self._silent_connections:
+                self._end_silent_connection(connection)
 
     def redial(self) -> None:
         """Reconnect immediately if the link is down, as the owner is reachable."""
@@ -269,27 +302,51 @@
             # Two checks must fail, because this process itself may have been suspended.
             self._missed_checks += now_ms - self._last_ping_ms >= PING_TIMEOUT_MS
             if self._missed_checks >= 2:
-                _log.warning("link_silent", node=self.member.node)
-                connection.abort()
+                self._replace_silent_connection(connection)
             return
         self._missed_checks = 0
         in_use = (
-            now_ms - self._last_used_ms < IN_USE_WINDOW_MS or self._futures_by_call_id
+            now_ms - self._last_used_ms < IN_USE_WINDOW_MS or self._pending_by_call_id
         )
         interval_ms = PING_INTERVAL_MS if in_use else IDLE_PING_INTERVAL_MS
         if now_ms - self._last_ping_ms >= interval_ms:
             self._last_ping_ms = now_ms
             self.send(Ping(number=next(self._pings), revision=self._revision()))
 
+    def _replace_silent_connection(self, connection: FramedConnection) -> None:
+        """Reconnect; calls that may not move keep waiting on the old connection."""
+        calls = self._calls_on(connection)
+        _log.warning("link_silent", node=self.member.node, calls=len(calls))
+        self._silent_connections.add(connection)
+        self._mark_down()
+        for pending in calls:
+            if not pending.future.done() and pending.may_move():
+                pending.future.set_exception(LinkBroken("the owner is unresponsive"))
+        self._end_silent_connection(connection)
+
+    def _end_silent_connection(self, connection: FramedConnection) -> None:
+        if not self._calls_on(connection):
+            connection.abort()
+
+    def _calls_on(self, connection: FramedConnection) -> list[_PendingCall]:
+        return [
+            pending
+            for pending in self._pending_by_call_id.values()
+            if pending.connection is connection
+        ]
+
     def _on_message(self, connection: FramedConnection, message: object) -> None:
-        if connection is not self._connection:
-            return
-        self._last_received_ms = self._clock.now_ms()
+        is_current = connection is self._connection
+        if is_current:
+            self._last_received_ms = self._clock.now_ms()
         if isinstance(message, Reply):
-            self._apply_report(message.report)
-            future = self._futures_by_call_id.get(message.id)
-            if future is not None and not future.done():
-                future.set_result(message)
+            if is_current:
+                self._apply_report(message.report)
+            pending = self._pending_by_call_id.get(message.id)
+            if pending is not None and not pending.future.done():
+                pending.future.set_result(message)
+            return
+        if not is_current:
             return
         if isinstance(message, EndpointReport):
             self._apply_report(message)
@@ -326,20 +383,24 @@
         self.sent_since_report = 0
 
     def _on_lost(self, connection: FramedConnection, reason: str) -> None:
-        if connection is not self._connection:
-            return
-        if self.report is not None:
-            _log.warning(
-                "link_down",
-                node=self.member.node,
-                reason=reason,
-                calls=len(self._futures_by_call_id),
-            )
+        calls = self._calls_on(connection)
+        self._silent_connections.discard(connection)
+        if connection is self._connection:
+            if self.report is not None:
+                _log.warning(
+                    "link_down",
+                    node=self.member.node,
+                    reason=reason,
+                    calls=len(calls),
+                )
+            self._mark_down()
+        for pending in calls:
+            if not pending.future.done():
+                pending.future.set_exception(LinkBroken(reason))
+
+    def _mark_down(self) -> None:
         self._connection = None
         self.report = None
         self.store_reachable = False
         self.down_since_ms = self._clock.now_ms()
-        for future in self._futures_by_call_id.values():
-            if not future.done():
-                future.set_exception(LinkBroken(reason))
         self._connection_ended.set()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/progress.py
@@ -51,6 +51,8 @@
         Whether another owner would be tried if the last chosen one refused.
     slow_node : str or None
         Owner that refused it only because its endpoint, though not busy, was slow.
+    has_retry_credit : bool
+        Whether a retry was already taken from the budget for it.
     """
 
     request: HttpRequest
@@ -69,6 +71,7 @@
     in_progress: bool = False
     has_alternative: bool = False
     slow_node: str | None = None
+    has_retry_credit: bool = False
 
 
 def make_call(
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -457,3 +457,48 @@
     assert took_s < 4.0
     assert received.count(b"HTTP/1.1 200") == len(executions)
     assert {execution.outcome for execution in executions} == {"answered"}
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+def test_a_call_survives_an_unresponsive_link(run_fleet, stopping):
+    # Guards against an execution that is cut because its owner does not answer pings
+    # for longer than their time-out, for example behind a full link. The caller must
+    # get the response, also if its daemon got a stop signal just before.
+    async def scenario(fleet):
+        caller, owner = fleet.vms[0], fleet.vms[2]
+        call = asyncio.create_task(
+            fleet.call("/stock-once/a?work_ms=1900", method="POST", deadline_ms=4_000)
+        )
+        await fleet.wait_until(lambda: fleet.executions("/stock-once/"))
+        answer_ping = owner.daemon._hub._answer_ping
+        owner.daemon._hub._answer_ping = lambda connection, ping: None
+        if stopping:
+            caller.daemon.request_stop()
+        link = caller.daemon._hub.links_by_node["vm-3"]
+        await fleet.wait_until(lambda: not link.is_up, timeout_s=3)
+        owner.daemon._hub._answer_ping = answer_ping
+        response = await call
+        (execution,) = fleet.executions("/stock-once/")
+        await fleet.wait_until(lambda: not link._silent_connections)
+        return response.status, execution.outcome
+
+    assert run_fleet(scenario) == (200, "answered")
+
+
+def test_a_safe_call_moves_away_from_an_unresponsive_owner(run_fleet):
+    # Guards against an idempotent request that waits for a paused owner until its
+    # deadline (4.5 s), although another endpoint could respond to it.
+    async def scenario(fleet):
+        call = asyncio.create_task(
+            fleet.call("/shop/a?work_ms=1900", vm=2, deadline_ms=4_500)
+        )
+        await fleet.wait_until(lambda: fleet.executions("/shop/"))
+        (owner,) = [vm for vm in fleet.vms if vm.endpoint.executions]
+        owner.daemon._hub._answer_ping = lambda connection, ping: None
+        response = await call
+        outcomes = [execution.outcome for execution in fleet.executions("/shop/")]
+        return response.status, sorted(outcomes)
+
+    services = (*TWO_ZONES, ServiceSpec(name="stock", zones=("c",)))
+    result = run_fleet(scenario, services=services, timeout_s=5.0)
+    assert result == (200, ["answered", "cut"])
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
@@ -6,7 +6,6 @@
 import enum
 import itertools
 import random
-import time
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
