Withstand faulty endpoints, callers and peers that operators reported

Cause, each shown by a test that failed before: - A copy of an earlier refusal without an id on a kept connection was taken for the refusal of the next request: its caller got 503 although it was executed. - A copy that arrived in a segment of its own failed the next request with 502, because an empty feed told the parser that the stream had ended. - Responses of up to 64 MB each, without a bound over all, filled a VM of 200 MB. Bytes without end in bodies, chunks or informational responses held the loop. - An unexpected error in one task stopped the daemon; one call that broke its owner cut all calls of its ingress. - A replaced endpoint inherited the stuck requests of the one before it. - A refused configuration was announced to peers and logged as in force.

Change: a response without an id counts only as the first on its connection; bounds per response and over all bodies; tasks run again after an error; a broken call fails alone. The budget of request bodies is one for all listeners.

Ruled out: refusing each refusal without an id, since endpoints that refuse a first request on a connection are then not distinguished from broken ones.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from vanillapitch_core.clock import Clock, SystemClock
 from vanillapitch_store.exceptions import StoreError
@@ -11,6 +11,7 @@
 from vanillapitch_wire.relay import MemberInfo
 
 from vanillapitch_relay.announcements import AnnouncementReceiver
+from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.configuration_follower import ConfigurationFollower
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.departure_store import DepartureRecord, DepartureStore
@@ -59,6 +60,12 @@
 # Delay between attempts to read the store at start. Failed calls are billed too.
 START_RETRY_INTERVAL_MS = 300.0
 BACKLOG = 1_024
+# Bytes of bodies in memory. A body is copied for its frame and for its connection, and
+# the smallest VMs have 200 MB.
+MAX_REQUEST_BYTES_HELD = 48 * 1024 * 1024
+MAX_RESPONSE_BYTES_HELD = 32 * 1024 * 1024
+# Delay before a task is run again that ended with an unexpected error.
+TASK_RETRY_INTERVAL_MS = 1_000.0
 _HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -218,6 +225,7 @@
             endpoint_address=settings.endpoint_address,
             request_health_check=self._request_health_check,
         )
+        self._request_budget = BodyBudget(limit_bytes=MAX_REQUEST_BYTES_HELD)
         self._callers = self._make_server(
             self._ingress.handle, may_pipeline=self._ingress.may_pipeline
         )
@@ -269,14 +277,12 @@
         """Serve until `request_stop`."""
         loop = asyncio.get_running_loop()
         await self._listen()
-        for coroutine in (
-            self._use_store(),
-            self._monitor.run(),
-            self._run_maintenance(),
+        for name, run in (
+            ("store", self._use_store),
+            ("monitor", self._monitor.run),
+            ("maintenance", self._run_maintenance),
         ):
-            task = loop.create_task(coroutine)
-            task.add_done_callback(self._on_task_end)
-            self._tasks.append(task)
+            self._tasks.append(loop.create_task(_run_supervised(name, run)))
         _log.info(
             "started",
             node=self.settings.node,
@@ -296,6 +302,7 @@
                 address=settings.endpoint_address,
                 echo_header=self._dialect.headers.request_id,
                 clock=self._clock,
+                budget=BodyBudget(limit_bytes=MAX_RESPONSE_BYTES_HELD),
             ),
             dialect=self._dialect,
             clock=self._clock,
@@ -310,6 +317,7 @@
             handle=handle,
             limits=lambda: self._configuration.limits,
             clock=self._clock,
+            body_budget=self._request_budget,
             **options,
         )
 
@@ -383,9 +391,12 @@
         start = await self._read_store()
         self._apply_stored_departure(self._departures.find(start.entries))
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._registration.run(start))
-            group.create_task(self._follower.run(start))
-            group.create_task(self._departures.remove_expired(start.entries))
+            for name, run in (
+                ("registration", lambda: self._registration.run(start)),
+                ("follower", lambda: self._follower.run(start)),
+                ("departures", lambda: self._departures.remove_expired(start.entries)),
+            ):
+                group.create_task(_run_supervised(name, run))
 
     async def _read_store(self) -> PrefixResult:
         while True:
@@ -419,16 +430,6 @@
     def _is_busy(self) -> bool:
         return bool(self._ingress.in_flight) or self._owner.is_busy
 
-    def _on_task_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # Without one of its tasks, the daemon would serve on stale state. It stops
-        # instead, and the platform restarts it.
-        logging.getLogger("daemon").error(
-            "task_failed", exc_info=task.exception(), extra={"fields": {}}
-        )
-        self._stop_requested.set()
-
     def _on_reload(self) -> None:
         try:
             settings = self._reload()
@@ -465,3 +466,15 @@
             task.cancel()
         await asyncio.sleep(FINAL_WRITE_DELAY_MS / 1_000.0)
         self._writer.flush()
+
+
+async def _run_supervised(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Run a task again after an unexpected error, which must not end the process."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            _log.error("task_broke", task=name)
+            await asyncio.sleep(TASK_RETRY_INTERVAL_MS / 1_000.0)
+        else:
+            return
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/breaker.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/breaker.py
@@ -77,5 +77,6 @@
         return stuck >= STUCK_REQUESTS
 
     def reset(self) -> None:
-        """Reset the failures, because the endpoint is down and may be replaced."""
+        """Forget its requests, because the endpoint is down and may be replaced."""
         self.failures = 0
+        self.started_ms_by_id.clear()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_state.py
@@ -130,10 +130,9 @@
             return
         self.read_revision = read_revision
         is_unchanged = configuration in (self._raw, b"")
-        if is_unchanged and zones_out == self.zones_out:
+        is_adopted = not is_unchanged and self._adopt(configuration, source=source)
+        if not is_adopted and zones_out == self.zones_out:
             return
-        if not is_unchanged:
-            self._adopt(configuration, source=source)
         if zones_out != self.zones_out:
             _log.info("zones_out", zones=sorted(zones_out), source=source)
             self.zones_out = zones_out
@@ -155,15 +154,17 @@
             zones_out=sorted(self.zones_out),
         )
 
-    def _adopt(self, raw: bytes, *, source: str) -> None:
+    def _adopt(self, raw: bytes, *, source: str) -> bool:
+        """Put a configuration in force; return whether it is valid."""
         try:
             configuration = self._dialect.decode_configuration(raw)
         except ConfigurationInvalid as error:
             _log.warning("configuration_refused", reason=str(error), source=source)
-            return
+            return False
         self._raw = raw
         self._compressed = zlib.compress(raw, _COMPRESSION_LEVEL)
         self.routes = RouteTable(configuration=configuration)
+        return True
 
 
 def _decompress(data: bytes) -> bytes:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -1,6 +1,7 @@
 """Health checks of the endpoint on this VM."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from vanillapitch_relay.cold_rate import compute_cold_limit
@@ -43,6 +44,8 @@
 # A crash is attributed to the requests whose connections broke within this time before
 # the crash was detected.
 CRASH_ATTRIBUTION_MS = 700.0
+# Longer cold times cannot be distinguished from corrupted ones.
+MAX_COLD_MS = 86_400_000.0
 
 
 class EndpointMonitor:
@@ -221,7 +224,10 @@
 
 def _parse_ms(value: bytes) -> float:
     try:
-        return max(0.0, float(value))
+        cold_ms = float(value)
     except ValueError:
-        _log.warning("cold_time_unreadable", value=value.decode("latin-1"))
-        return 0.0
+        cold_ms = math.nan
+    if cold_ms <= MAX_COLD_MS:
+        return max(0.0, cold_ms)
+    _log.warning("cold_time_unreadable", value=value.decode("latin-1"))
+    return 0.0
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_pool.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_pool.py
@@ -4,6 +4,7 @@
 
 from vanillapitch_core.clock import Clock
 
+from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.http_client import HttpConnection, open_connection
 
 __all__ = ["EndpointPool"]
@@ -31,6 +32,8 @@
         Header in which the endpoint echoes the id of a request.
     clock : Clock
         Source of time.
+    budget : BodyBudget
+        Bounds the bytes of responses in memory.
     idle : list of HttpConnection
         Connections without a request in progress.
     opened : int
@@ -40,6 +43,7 @@
     address: str
     echo_header: bytes
     clock: Clock
+    budget: BodyBudget
     idle: list[HttpConnection] = dataclasses.field(default_factory=list)
     opened: int = 0
 
@@ -69,7 +73,10 @@
                 return self.idle.pop()
         self.opened += 1
         return await open_connection(
-            self.address, timeout_ms=CONNECT_TIMEOUT_MS, echo_header=self.echo_header
+            self.address,
+            timeout_ms=CONNECT_TIMEOUT_MS,
+            echo_header=self.echo_header,
+            budget=self.budget,
         )
 
     def release(self, connection: HttpConnection) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.exceptions import (
     ConnectFailed,
     ConnectionBroken,
@@ -29,8 +30,11 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_HEAD_BYTES = 64 * 1024
-# Equal to the largest body that a configuration allows.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Each part of a body and each informational response costs some 20 us of the loop, and
+# a faulty server may send them without end.
+MAX_BODY_PARTS = 16_384
+MAX_INFORMATIONAL = 8
 # Late responses to earlier requests that are skipped before the connection is closed.
 MAX_STALE_RESPONSES = 4
 
@@ -77,7 +81,11 @@
 
 
 async def open_connection(
-    address: str, *, timeout_ms: float, echo_header: bytes = b""
+    address: str,
+    *,
+    timeout_ms: float,
+    echo_header: bytes = b"",
+    budget: BodyBudget | None = None,
 ) -> "HttpConnection":
     """Connect to an HTTP server.
 
@@ -89,6 +97,8 @@
         Connect time-out in milliseconds.
     echo_header : bytes
         Header in which responses echo the id of their request, or empty.
+    budget : BodyBudget or None
+        Bounds the bytes of responses over several connections; None for one of its own.
 
     Returns
     -------
@@ -105,7 +115,9 @@
     try:
         async with asyncio.timeout(timeout_ms / 1_000.0):
             _, connection = await loop.create_connection(
-                lambda: HttpConnection(echo_header=echo_header), host, int(port)
+                lambda: HttpConnection(echo_header=echo_header, budget=budget),
+                host,
+                int(port),
             )
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
@@ -119,9 +131,11 @@
     ----------
     echo_header : bytes
         Header in which responses echo the id of their request, or empty.
+    budget : BodyBudget or None
+        Bounds the bytes of responses over several connections; None for one of its own.
     """
 
-    def __init__(self, *, echo_header: bytes = b""):
+    def __init__(self, *, echo_header: bytes = b"", budget: BodyBudget | None = None):
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
         self._echo_header = echo_header
@@ -132,6 +146,9 @@
         self._response_head: h11.Response | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._budget = budget or BodyBudget(limit_bytes=MAX_RESPONSE_BYTES)
+        self._exchanges = 0
+        self._informational = 0
         self._stale_responses = 0
         self._usable = True
         self._has_received = False
@@ -172,6 +189,8 @@
         self._waiter = asyncio.get_running_loop().create_future()
         self._request = request
         self._stale_responses = 0
+        self._informational = 0
+        self._exchanges += 1
         self._has_received = False
         self._start_cycle()
         self._transport.write(self._encode(request))
@@ -181,6 +200,7 @@
             if not self._waiter.done() or self._waiter.cancelled():
                 self.close()
             self._waiter = None
+            self._release_body()
 
     def close(self) -> None:
         """Abort the connection and discard buffered bytes."""
@@ -223,6 +243,10 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._response_head = None
+        self._release_body()
+
+    def _release_body(self) -> None:
+        self._budget.release(self._body_bytes)
         self._body = []
         self._body_bytes = 0
 
@@ -254,6 +278,8 @@
                 return
             if isinstance(event, h11.Response):
                 self._response_head = event
+            elif isinstance(event, h11.InformationalResponse):
+                self._count_informational()
             elif isinstance(event, h11.Data):
                 self._add_body(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -262,10 +288,21 @@
                 self._fail(ConnectionBroken("the connection was closed"))
 
     def _add_body(self, data: bytes) -> None:
+        is_too_large = (
+            len(self._body) >= MAX_BODY_PARTS
+            or self._body_bytes + len(data) > MAX_RESPONSE_BYTES
+        )
+        if is_too_large or not self._budget.acquire(len(data)):
+            self._fail(ResponseInvalid("the response body is too large"))
+            self.close()
+            return
         self._body.append(data)
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._fail(ResponseInvalid("the response body is too large"))
+
+    def _count_informational(self) -> None:
+        self._informational += 1
+        if self._informational > MAX_INFORMATIONAL:
+            self._fail(ResponseInvalid("too many informational responses"))
             self.close()
 
     def _complete(self) -> None:
@@ -284,7 +321,10 @@
             headers=headers,
             body=b"".join(self._body),
         )
-        if expected and echoed is None and response.status < 300:
+        # A response without an id may be the second copy of one to an earlier request,
+        # so only the first response on a connection may be a refusal without one.
+        is_ambiguous = response.status < 300 or self._exchanges > 1
+        if expected and echoed is None and is_ambiguous:
             self._fail(ResponseInvalid("the response does not echo the request id"))
             self.close()
             return
@@ -303,7 +343,9 @@
         self._encode(request)
         # A surplus response may follow, so the connection is not reused.
         self._usable = False
-        self._parser.receive_data(rest)
+        if rest:
+            # An empty feed would signal the end of the stream.
+            self._parser.receive_data(rest)
 
     def _update_reusability(self, headers: Headers) -> None:
         rest, closed = self._parser.trailing_data
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -14,17 +14,19 @@
 import msgspec
 from vanillapitch_core.clock import Clock
 
+from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.exceptions import RequestInvalid
 from vanillapitch_relay.http_client import HttpRequest, HttpResponse, find_header
 from vanillapitch_relay.http_responses import make_response, strip_hop_headers
+from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import ClientLimits
 
-__all__ = ["BodyBudget", "CallerConnection", "Handler", "ServerState"]
+__all__ = ["CallerConnection", "Handler", "ServerState"]
+
+_log = EventLog(part="server")
 
 # Requests of one connection that may be pending before reading is paused.
 MAX_PIPELINED = 32
-# Total bytes of request bodies in memory, over all connections of a listener.
-MAX_BODY_BYTES_HELD = 96 * 1024 * 1024
 # After the last response, bytes from the caller are read and discarded for this time.
 LINGER_TIMEOUT_MS = 500.0
 # A connection whose caller does not read its responses is aborted after this time.
@@ -32,24 +34,6 @@
 Handler = Callable[[HttpRequest, float, str], Awaitable[HttpResponse]]
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class BodyBudget:
-    """Limits the bytes of request bodies in memory."""
-
-    held_bytes: int = 0
-
-    def acquire(self, size: int) -> bool:
-        """Reserve bytes; return whether the budget allows them."""
-        if self.held_bytes + size > MAX_BODY_BYTES_HELD:
-            return False
-        self.held_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Release reserved bytes."""
-        self.held_bytes -= size
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerState:
     """State shared by all connections of a listener.
@@ -62,6 +46,8 @@
         Returns the client limits in force.
     clock : Clock
         Source of time.
+    body_budget : BodyBudget
+        Budget of the request bodies in memory.
     connections : set of CallerConnection
         Open connections.
     stopping : bool
@@ -69,17 +55,15 @@
     may_pipeline : callable
         Returns whether a request may be handled before earlier ones of its connection
         are answered.
-    body_budget : BodyBudget
-        Budget of the request bodies in memory.
     """
 
     handle: Handler
     limits: Callable[[], ClientLimits]
     clock: Clock
+    body_budget: BodyBudget
     may_pipeline: Callable[[HttpRequest], bool] = lambda request: True
     connections: set["CallerConnection"] = dataclasses.field(default_factory=set)
     stopping: bool = False
-    body_budget: BodyBudget = dataclasses.field(default_factory=BodyBudget)
 
     def end_reading(self) -> None:
         """Stop reading requests; close each connection after its pending responses."""
@@ -294,6 +278,9 @@
             response = await self._state.handle(
                 exchange.request, exchange.arrived_ms, self._peer_host
             )
+        except Exception:
+            _log.error("request_broke", target=exchange.request.target)
+            response = make_response(500, b'{"code":"internal_error"}')
         finally:
             self._release(exchange)
         exchange.response = response
@@ -337,9 +324,17 @@
             headers.append((b"content-length", str(len(response.body)).encode()))
         if close:
             headers.append((b"connection", b"close"))
-        event = h11.Response(
-            status_code=response.status, reason=response.phrase, headers=headers
-        )
+        try:
+            event = h11.Response(
+                status_code=response.status, reason=response.phrase, headers=headers
+            )
+        except h11.LocalProtocolError as error:
+            # The endpoint's response cannot be written as HTTP. The request may have
+            # been executed, so the status must not promise the opposite.
+            _log.warning("response_invalid", reason=str(error))
+            exchange.response = make_response(502, b'{"code":"answer_invalid"}')
+            self._write_response(exchange, close=close)
+            return
         parts = [exchange.parser.send(event)]
         if response.body and has_body and not is_head:
             parts.append(exchange.parser.send(h11.Data(data=response.body)))
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -23,6 +23,7 @@
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.links import FramedConnection, OwnerLink
+from vanillapitch_relay.model import Ending
 from vanillapitch_relay.owner import Owner
 from vanillapitch_relay.quarantine import Quarantine
 from vanillapitch_relay.snapshot_exchange import SnapshotExchange
@@ -273,10 +274,11 @@
                 return
             error = done.exception()
             if error is not None:
+                # Other calls share the connection, so only this one fails.
                 _log.warning(
                     "call_broke", request_id=call.request_id, error=repr(error)
                 )
-                connection.abort()
+                connection.send(self.owner.make_reply(call, Ending.FAILED, "broken"))
                 return
             connection.send(done.result())
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -318,16 +318,7 @@
                 call, may_move=lambda: self._may_move(progress)
             )
         except LinkBroken:
-            return Reply(
-                id=call.id,
-                ending=Ending.FAILED.value,
-                reason="link_broken",
-                status=0,
-                phrase="",
-                headers=[],
-                body=b"",
-                report=self._owner.report(),
-            )
+            return self._owner.make_reply(call, Ending.FAILED, "link_broken")
         finally:
             task = asyncio.current_task()
             progress.in_progress = task is not None and task.cancelling() > 0
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/line_log.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/line_log.py
@@ -102,7 +102,13 @@
             fields["error"] = repr(record.exc_info[1])
         if self.dropped:
             fields["dropped_lines"] = self.dropped
-        return msgspec.json.encode(fields, enc_hook=str) + b"\n"
+        try:
+            return msgspec.json.encode(fields, enc_hook=str) + b"\n"
+        except (ValueError, OverflowError, msgspec.MsgspecError) as error:
+            # A value that cannot be encoded must not end the task that logs it.
+            fields = {name: ascii(value) for name, value in fields.items()}
+            fields["unencodable"] = repr(error)
+            return msgspec.json.encode(fields) + b"\n"
 
 
 class EventLog:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -368,12 +368,12 @@
             connection = await pool.acquire(idempotent=call.idempotent)
         except ConnectFailed as error:
             self._record_failure(call, error)
-            return self._reply(call, Ending.REFUSED, error.code)
+            return self.make_reply(call, Ending.REFUSED, error.code)
         remaining_ms = call.remaining_ms - (self._now_ms() - arrived_ms)
         if remaining_ms < MIN_REMAINING_MS or self.admission.blocked is not None:
             pool.release(connection)
             reason = self.admission.blocked or RefusalReason.PAST_DEADLINE
-            return self._reply(call, Ending.REFUSED, reason)
+            return self.make_reply(call, Ending.REFUSED, reason)
         try:
             return await self._exchange(call, connection, remaining_ms=remaining_ms)
         finally:
@@ -401,7 +401,7 @@
         else:
             return self._classify_response(call, response)
         self._record_failure(call, error)
-        return self._reply(call, Ending.FAILED, error.code)
+        return self.make_reply(call, Ending.FAILED, error.code)
 
     def _record_failure(self, call: Call, error: RelayError) -> None:
         _log.info(
@@ -420,7 +420,7 @@
         self._record(failed=classification.failed)
         if response.status == STATUS_OTHER_INSTANCE:
             self._request_health_check()
-        reply = self._reply(call, classification.ending, classification.reason)
+        reply = self.make_reply(call, classification.ending, classification.reason)
         if classification.ending is Ending.ANSWERED:
             self.parts.quarantine.clear(call.fingerprint)
             copy_response(reply, response)
@@ -455,9 +455,10 @@
             objective_ms=call.objective_ms,
         )
         self.parts.metrics.count_owner_refusal(reason)
-        return self._reply(call, Ending.REFUSED, reason)
+        return self.make_reply(call, Ending.REFUSED, reason)
 
-    def _reply(self, call: Call, ending: Ending, reason: str) -> Reply:
+    def make_reply(self, call: Call, ending: Ending, reason: str) -> Reply:
+        """Return a reply without a response."""
         return Reply(
             id=call.id,
             ending=ending.value,
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 import itertools
+import socket
+import struct
 import time
 
 import msgspec
@@ -19,6 +21,13 @@
 
 HEARTBEAT_INTERVAL_S = 0.2
 _PREFIX = "X-Vanillapitch-"
+# What follows the head, and what is then repeated until the connection is closed.
+_ENDLESS_PARTS = {
+    "endless_head": (b"", b"X-More: " + b"y" * 1_000 + b"\r\n"),
+    "endless_body": (b"Connection: close\r\n\r\n", b"z" * 60_000),
+    "endless_chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nz\r\n" * 2_000),
+    "endless_informational": (b"", b"HTTP/1.1 103 Early\r\n\r\n" * 500),
+}
 
 
 def _now_s() -> float:
@@ -35,20 +44,28 @@
         Type of the next responses: ``whole`` (valid), ``truncated``, ``reset``,
         ``silent``, ``extra`` (a second response follows), ``late`` (a response to
         another request arrives first), ``unframed`` (ends with the connection),
-        ``garbage``, ``shed`` (refused without an execution), ``error`` (500) or
-        ``encoded`` (with ``Content-Encoding``).
+        ``unframed_reset`` (the same, but reset halfway), ``garbage``, ``shed`` (refused
+        without an execution), ``refusal_again`` (the last refusal on the connection
+        arrives first), ``copy_later`` (a copy follows after 30 ms), ``error`` (500),
+        ``encoded`` (with ``Content-Encoding``), or one of `_ENDLESS_PARTS`.
     count : int
         Number of responses with the fault; later ones are ``whole``.
     unhealthy : bool
         Whether health checks are answered with 503.
     crash_on : str
         Substring of the targets that crash the endpoint; empty for none.
+    refusals_have_ids : bool
+        Whether a refusal echoes the id of its request.
+    health_headers : dict of str to str
+        Headers that replace those of responses to health checks.
     """
 
     response: str = "whole"
     count: int = 1_000_000
     unhealthy: bool = False
     crash_on: str = ""
+    refusals_have_ids: bool = True
+    health_headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -79,6 +96,18 @@
     outcome: str = ""
 
 
+async def _write_without_end(
+    writer: asyncio.StreamWriter, head: bytes, fault: str
+) -> None:
+    start, repeated = _ENDLESS_PARTS[fault]
+    writer.write(b"" if fault == "endless_informational" else head + start)
+    with contextlib.suppress(ConnectionError):
+        while not writer.transport.is_closing():
+            writer.write(repeated)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
 class SimulatedEndpoint:
     """One endpoint.
 
@@ -130,6 +159,7 @@
         self._bind_address = bind_address or address
         self._control_address = control_address
         self._sequence = 0
+        self._last_refusal = b""
         self._running = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -237,10 +267,11 @@
             return True
         fault = self._take_fault()
         if fault == "shed" or not request_id:
-            name = f"{_PREFIX}Not-Executed"
-            status = 503 if request_id else 400
-            writer.write(encode_response(status, b"", {name: "1"}))
+            self._last_refusal = self._refuse(request_id)
+            writer.write(self._last_refusal)
             return True
+        if fault == "refusal_again":
+            writer.write(self._last_refusal)
         execution = Execution(
             request_id=request_id,
             method=request.method,
@@ -256,6 +287,12 @@
             return False
         return await self._work(execution, request, writer, fault)
 
+    def _refuse(self, request_id: str) -> bytes:
+        headers = {f"{_PREFIX}Not-Executed": "1"}
+        if request_id and self.faults.refusals_have_ids:
+            headers[f"{_PREFIX}Attempt-Id"] = request_id
+        return encode_response(503 if request_id else 400, b"", headers)
+
     async def _work(
         self,
         execution: Execution,
@@ -272,7 +309,7 @@
         if execution.outcome:
             return False
         execution.outcome = fault
-        if fault == "whole":
+        if fault in ("whole", "refusal_again", "copy_later"):
             execution.outcome = "answered"
         return await self._write_response(execution, writer, fault)
 
@@ -294,9 +331,13 @@
     ) -> bool:
         body = f"answer to {execution.request_id}".encode() * 10
         complete = self._encode(execution.request_id, 200, body)
-        if fault == "whole":
+        if fault in ("whole", "refusal_again"):
             writer.write(complete)
             return True
+        if fault == "copy_later":
+            writer.write(complete)
+            asyncio.get_running_loop().call_later(0.03, writer.write, complete)
+            return True
         if fault == "extra":
             writer.write(
                 complete + self._encode(execution.request_id, 200, b"a second answer")
@@ -336,11 +377,18 @@
         if fault == "truncated":
             writer.write(complete[:-20])
             await writer.drain()
-        if fault == "unframed":
-            head, _, _ = complete.partition(b"Content-Length")
+        head, _, _ = complete.partition(b"Content-Length")
+        if fault in ("unframed", "unframed_reset"):
             writer.write(head + b"Connection: close\r\n\r\n" + body)
             await writer.drain()
-        if fault == "reset":
+        if fault in _ENDLESS_PARTS:
+            await _write_without_end(writer, head, fault)
+        if fault == "unframed_reset":
+            await asyncio.sleep(0.05)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        if fault in ("reset", "unframed_reset"):
             writer.transport.abort()
         return False
 
@@ -365,6 +413,7 @@
                 f"{_PREFIX}Instance-Id": self.instance,
                 f"{_PREFIX}Server-Load": self._load(),
                 f"{_PREFIX}Cold-Remaining-Ms": str(cold_ms),
+                **self.faults.health_headers,
             },
         )
 
