List only some daemons of each zone in the store

Change: two daemons of each availability zone, the introducers, hold a key. The others learn the members from them over links (frames MembersRequest and Members, protocol version 4) and list themselves when their zone reaches too few. An introducer that the store does not answer is not counted, as new daemons cannot find it. Unlisted daemons are redialled for 30 s, and members are sent anew as often, for daemons that were cut off from each other alone.

Ruled out: asking the store less often with every daemon listed, which halves the cost and still grows; electing introducers by name, since no daemon knows the others at the first start.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -161,6 +161,7 @@
                 address=settings.peer_address,
                 service_name=settings.service,
                 zone=settings.zone,
+                introducer=False,
             ),
             clock=clock,
             configuration=self._configuration,
@@ -189,7 +190,7 @@
             settings=settings,
             clock=clock,
             reachability=self._reachability,
-            on_members=self._hub.set_listed_members,
+            hub=self._hub,
         )
         self._follower = ConfigurationFollower(
             store=store,
@@ -399,14 +400,21 @@
                 group.create_task(_run_supervised(name, run))
 
     async def _read_store(self) -> PrefixResult:
+        # Before the first start there are no departures, and what else was written
+        # lately comes from a follower.
+        may_be_stale = self.settings.is_first_start
         while True:
             try:
-                start = await self._store.get_prefix(self._dialect.keys.shared_prefix)
+                start = await self._store.get_prefix(
+                    self._dialect.keys.shared_prefix, may_be_stale=may_be_stale
+                )
             except StoreError as error:
                 self._reachability.record_failure("start", error)
                 await asyncio.sleep(START_RETRY_INTERVAL_MS / 1_000.0)
                 continue
-            self._reachability.record_response("get_prefix")
+            self._reachability.record_response(
+                "get_prefix_stale" if may_be_stale else "get_prefix"
+            )
             return start
 
     def _apply_stored_departure(self, record: DepartureRecord | None) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -12,6 +12,8 @@
     EndpointReport,
     Hello,
     MemberInfo,
+    Members,
+    MembersRequest,
     Ping,
     Pong,
     Snapshot,
@@ -33,13 +35,22 @@
 
 _log = EventLog(part="hub")
 
-# A daemon that is no longer listed is redialled for this time, so that it is found
-# again after an outage of the store. Then its link is removed.
-UNLISTED_RETENTION_MS = 10_000.0
+# A daemon that is not listed is redialled for this time, so that it is found again
+# after a partition. Then its link is removed.
+UNLISTED_RETENTION_MS = 30_000.0
+# Interval of sending all members to the daemons that requested them, which finds those
+# that removed their links to each other.
+MEMBERS_REFRESH_MS = 30_000.0
+# Introducers of other availability zones that a daemon asks for members while it
+# reaches none of its own zone.
+OTHER_ZONE_INTRODUCERS = 2
 # Followers (daemons that watch the store): one per availability zone, but at least two
 # in total. If one fails, changes still arrive without delay through another.
 FOLLOWERS_PER_ZONE = 1
 FOLLOWERS_MIN = 2
+# Daemons of an availability zone that keep trying to watch while the store answers none
+# of it. Failed calls are billed too.
+FOLLOWERS_TRYING = 2
 # Load reports are pushed to ingresses that sent a call within this time; the others get
 # them in the pongs that answer their pings.
 PUSH_WINDOW_MS = 1_500.0
@@ -51,6 +62,7 @@
 
     connection: FramedConnection
     tasks_by_call_id: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+    wants_members: bool = False
 
 
 class Hub:
@@ -86,6 +98,9 @@
         self._clock = clock
         self._configuration = configuration
         self._listed_members: dict[str, MemberInfo] = {}
+        self._new_members_by_node: dict[str, MemberInfo] = {}
+        self._members_sent_ms = clock.now_ms()
+        self._has_met_introducer = False
         self._incoming: dict[FramedConnection, _Incoming] = {}
 
     async def listen(self) -> asyncio.Server:
@@ -109,13 +124,83 @@
         }
         for member in self._listed_members.values():
             self._ensure_link(member)
+            self.links_by_node[member.node].member = member
         self._remove_stale_links()
 
     def check_links(self) -> None:
-        """Ping the owners and remove links to unlisted, unreachable daemons."""
+        """Ping the owners and exchange what is known about members."""
         for link in self.links_by_node.values():
             link.check()
         self._remove_stale_links()
+        self._request_members()
+        self._send_members()
+
+    def count_zone_introducers(self) -> int:
+        """Count the introducers of this zone that new daemons find, without this one.
+
+        One that the store does not answer loses its key there.
+        """
+        return sum(link.store_reachable for link in self._zone_introducers())
+
+    def become_introducer(self) -> None:
+        """Record that this daemon is listed in the store, and notify its zone."""
+        self._member.introducer = True
+        self._has_met_introducer = True
+        frame = encode_frame(Members(members=[self._member]))
+        for link in self._links_of_zone():
+            link.send_frame(frame)
+
+    def _links_of_zone(self) -> list[OwnerLink]:
+        zone = self._member.zone
+        links = self.links_by_node.values()
+        return [link for link in links if link.is_up and link.member.zone == zone]
+
+    def _zone_introducers(self) -> list[OwnerLink]:
+        return [link for link in self._links_of_zone() if link.member.introducer]
+
+    def _request_members(self) -> None:
+        introducers = self._zone_introducers()
+        self._has_met_introducer |= bool(introducers)
+        if not introducers and not self._member.introducer:
+            others = [
+                link
+                for _, link in sorted(self.links_by_node.items())
+                if link.is_up and link.member.introducer
+            ]
+            introducers = others[:OTHER_ZONE_INTRODUCERS]
+        for link in introducers:
+            if not link.is_subscribed:
+                link.is_subscribed = True
+                link.send(MembersRequest())
+
+    def _send_members(self) -> None:
+        """Send the members that are new since the last call, or all if that is due."""
+        now_ms = self._clock.now_ms()
+        members = list(self._new_members_by_node.values())
+        self._new_members_by_node.clear()
+        if now_ms - self._members_sent_ms >= MEMBERS_REFRESH_MS:
+            self._members_sent_ms = now_ms
+            members = self._reachable_members()
+        if not members:
+            return
+        frame = encode_frame(Members(members=members))
+        for incoming in self._incoming.values():
+            if incoming.wants_members:
+                incoming.connection.send_frame(frame)
+
+    def _reachable_members(self) -> list[MemberInfo]:
+        links = self.links_by_node.values()
+        return [self._member, *(link.member for link in links if link.is_up)]
+
+    def _receive_members(self, message: Members) -> None:
+        for member in message.members:
+            if member.node == self._member.node:
+                continue
+            link = self.links_by_node.get(member.node)
+            if link is None or not link.is_up:
+                self._ensure_link(member)
+            elif member.introducer and link.member.address == member.address:
+                link.member = member
 
     def _remove_stale_links(self) -> None:
         """Remove links to daemons that are neither listed nor reachable."""
@@ -164,13 +249,21 @@
     def is_follower(self) -> bool:
         """Return whether this daemon is a follower, that is, watches the store.
 
-        Followers are the first daemons, by node name, that can reach the store.
+        Followers are the first daemons, by node name, that can reach the store. A
+        daemon that has met no introducer yet does not know which others there are.
         """
-        ahead = [
-            link.member.zone
+        if not self._has_met_introducer:
+            return False
+        links_ahead = [
+            link
             for node, link in self.links_by_node.items()
-            if node < self._member.node and link.is_up and link.store_reachable
+            if node < self._member.node and link.is_up
         ]
+        zones_ahead = [link.member.zone for link in links_ahead]
+        is_late = zones_ahead.count(self._member.zone) >= FOLLOWERS_TRYING
+        if is_late and not self._reachability.is_reachable:
+            return False
+        ahead = [link.member.zone for link in links_ahead if link.store_reachable]
         is_first_of_zone = ahead.count(self._member.zone) < FOLLOWERS_PER_ZONE
         return is_first_of_zone or len(ahead) < FOLLOWERS_MIN
 
@@ -206,6 +299,7 @@
         link = self.links_by_node.get(member.node)
         if link is not None and link.member.address == member.address:
             return
+        self._new_members_by_node[member.node] = member
         if link is not None:
             link.stop()
         link = OwnerLink(
@@ -256,6 +350,9 @@
             self._answer_ping(connection, message)
         elif isinstance(message, Hello):
             self._on_ingress_hello(connection, message)
+        elif isinstance(message, MembersRequest):
+            incoming.wants_members = True
+            connection.send(Members(members=self._reachable_members()))
         else:
             self._on_peer_message(connection, message)
 
@@ -305,6 +402,8 @@
     def _on_link_message(self, link: OwnerLink, message: object) -> None:
         if isinstance(message, Hello):
             self._apply_hello(link, message)
+            if message.member.introducer:
+                self._request_members()
         elif isinstance(message, Pong):
             self._on_revision(link, message.report.revision)
         elif isinstance(message, EndpointReport):
@@ -333,6 +432,8 @@
             self._exchange.receive_snapshot(message, source=_node_of(peer))
         elif isinstance(message, Strike):
             self.quarantine.receive(message, source="peer")
+        elif isinstance(message, Members):
+            self._receive_members(message)
         else:
             _log.warning("message_unexpected", kind=type(message).__name__)
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
@@ -156,6 +156,8 @@
         self.sent_since_report = 0
         self.store_reachable = False
         self.down_since_ms = clock.now_ms()
+        # Whether the members were requested on the current connection.
+        self.is_subscribed = False
         self._clock = clock
         self._make_hello = make_hello
         self._revision = revision
@@ -401,6 +403,7 @@
     def _mark_down(self) -> None:
         self._connection = None
         self.report = None
+        self.is_subscribed = False
         self.store_reachable = False
         self.down_since_ms = self._clock.now_ms()
         self._connection_ended.set()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -321,6 +321,8 @@
         The platform's store.
     lease_ttl_ms_min : int
         Shortest lease that the store grants.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time.
     bounds : Bounds
         Bounds of the deployment.
     """
@@ -336,6 +338,7 @@
     metrics_address: str
     store_address: str
     lease_ttl_ms_min: int
+    is_first_start: bool
     bounds: Bounds
 
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -1,15 +1,18 @@
-"""Membership through the platform's store: one leased key per daemon.
+"""Membership through the platform's store: a leased key per introducer.
 
-A restarted process finds the key of its predecessor and continues with its lease.
-Otherwise a daemon writes its own key before it reads the others. Of two daemons that
-start at the same time, the later writer therefore reads the other's key and connects to
-it, and the other connects back. So no watch is needed; a cheap periodic read finds
-daemons that were unreachable for longer than their link is kept.
+Introducers are some daemons of each availability zone. They are listed in the store and
+know all members; the others connect to them and learn the members from them. So the
+calls to the store depend on the number of zones and not on that of the daemons.
+
+A daemon becomes an introducer while its zone has too few. It writes its own key before
+it reads the others. Of two introducers that start at the same time, the later writer
+therefore reads the other's key and connects to it, and the other connects back. A
+restarted process finds the key of its predecessor and continues with its lease.
 """
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 from vanillapitch_core.clock import Clock
@@ -17,6 +20,7 @@
 from vanillapitch_store.model import Entry, PrefixResult, Put, mod_revision_is
 from vanillapitch_wire.relay import MemberInfo
 
+from vanillapitch_relay.hub import Hub
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import Settings, StoreKeys
 from vanillapitch_relay.store_port import AsyncKeyValueStore
@@ -32,12 +36,26 @@
 # The member key must be restored within 2 s after the store recovers. Failed calls are
 # billed too.
 RETRY_INTERVAL_MS = 900.0
+# All daemons but the introducers wait for this time, since they share the outage.
+SEARCH_RETRY_INTERVAL_MS = 3_000.0
 # A stale read costs a tenth of a call. Links are kept for longer than this interval.
 MEMBERS_INTERVAL_MS = 8_000.0
 # The platform documents that stale reads may be seconds old.
 STALE_READ_AGE_MS = 5_000.0
 
 
+# Introducers of each availability zone; one more than can fail between two checks.
+INTRODUCERS_PER_ZONE = 2
+# Interval at which a daemon that is not listed counts the introducers it reaches.
+INTRODUCERS_CHECK_MS = 500.0
+# Range from which a daemon draws its delay before it lists itself. At the first start
+# all daemons do so, nobody is served yet, and stale reads may not show the first ones.
+FIRST_START_DELAY_MS = 4_000.0
+NO_INTRODUCER_DELAY_MS = 500.0
+# With one introducer left, new daemons still find the others.
+ONE_INTRODUCER_DELAY_MS = 10_000.0
+
+
 class _MemberValue(msgspec.Struct, frozen=True, kw_only=True):
     address: str
     service: str
@@ -45,7 +63,7 @@
 
 
 class Registration:
-    """Task that keeps the member key of this daemon and reads those of the others.
+    """Task that finds introducers, or keeps the member key of this daemon if it is one.
 
     Parameters
     ----------
@@ -59,8 +77,8 @@
         Source of time.
     reachability : StoreReachability
         Records the results of calls to the store.
-    on_members : callable
-        Called with all listed members by node.
+    hub : Hub
+        Links to the members.
     """
 
     def __init__(
@@ -71,14 +89,14 @@
         settings: Settings,
         clock: Clock,
         reachability: StoreReachability,
-        on_members: Callable[[dict[str, MemberInfo]], None],
+        hub: Hub,
     ):
         self._store = store
         self._prefix = keys.members_prefix
         self._settings = settings
         self._clock = clock
         self._reachability = reachability
-        self._on_members = on_members
+        self._hub = hub
         self._lease_id = 0
         self._own_key = keys.members_prefix + settings.node
         self._own_value = msgspec.json.encode(
@@ -91,14 +109,19 @@
         # Revision of the own key as last written or read; 0 if it is absent.
         self._own_revision = 0
         self._is_listed = False
+        # An introducer that loses its key lists itself again.
+        self._is_introducer = False
         self._listed_at_ms = -STALE_READ_AGE_MS
         self._members_due_ms = clock.now_ms() + MEMBERS_INTERVAL_MS
         # Set when the store was lost, as keys may have been removed meanwhile.
         self._must_recheck_list = False
+        self._delay_ms = NO_INTRODUCER_DELAY_MS
+        if settings.is_first_start:
+            self._delay_ms = FIRST_START_DELAY_MS
         self._stopping = False
 
     async def run(self, start: PrefixResult) -> None:
-        """Renew the lease and read the members periodically, until cancelled.
+        """Stay in contact with introducers or be one, until cancelled.
 
         Parameters
         ----------
@@ -108,6 +131,9 @@
         self._resume_lease(start)
         while not self._stopping:
             try:
+                if not self._is_introducer and not await self._must_register():
+                    await asyncio.sleep(INTRODUCERS_CHECK_MS / 1_000.0)
+                    continue
                 await self._renew()
                 await self._read_members()
             except StoreLeaseNotFound as error:
@@ -118,7 +144,11 @@
             except StoreError as error:
                 self._reachability.record_failure("register", error)
                 self._must_recheck_list = True
-                await _sleep_with_jitter(RETRY_INTERVAL_MS)
+                await _sleep_with_jitter(
+                    RETRY_INTERVAL_MS
+                    if self._is_introducer
+                    else SEARCH_RETRY_INTERVAL_MS
+                )
                 continue
             await asyncio.sleep(RENEW_INTERVAL_MS / 1_000.0)
 
@@ -138,14 +168,47 @@
 
     def _resume_lease(self, start: PrefixResult) -> None:
         """Continue with the key and the lease of an earlier process on this VM."""
-        self._on_members(self._decode_members(start.entries))
+        self._hub.set_listed_members(self._decode_members(start.entries))
         for entry in start.entries:
             if entry.key == self._own_key:
                 self._own_revision = entry.mod_revision
                 self._lease_id = entry.lease_id
                 self._is_listed = entry.value == self._own_value
+                self._become_introducer()
                 _log.info("lease_taken_over", lease=entry.lease_id)
 
+    def _become_introducer(self) -> None:
+        self._is_introducer = True
+        self._hub.become_introducer()
+
+    async def _must_register(self) -> bool:
+        """Wait for introducers of this zone; return whether it has too few."""
+        reached = self._hub.count_zone_introducers()
+        if reached >= INTRODUCERS_PER_ZONE:
+            return False
+        delay_ms = ONE_INTRODUCER_DELAY_MS if reached else self._delay_ms
+        await asyncio.sleep(random.uniform(0.0, delay_ms) / 1_000.0)
+        if self._stopping or self._hub.count_zone_introducers() > reached:
+            return False
+        # A stale read is enough to find introducers, but not to conclude that there are
+        # too few.
+        for may_be_stale in (True, False):
+            listed = await self._list_members(may_be_stale=may_be_stale)
+            zones = [member.zone for member in listed.values()]
+            if zones.count(self._settings.zone) >= INTRODUCERS_PER_ZONE:
+                self._delay_ms = NO_INTRODUCER_DELAY_MS
+                return False
+        return True
+
+    async def _list_members(self, *, may_be_stale: bool) -> dict[str, MemberInfo]:
+        result = await self._store.get_prefix(self._prefix, may_be_stale=may_be_stale)
+        self._reachability.record_response(
+            "get_prefix_stale" if may_be_stale else "get_prefix"
+        )
+        members_by_node = self._decode_members(result.entries)
+        self._hub.set_listed_members(members_by_node)
+        return members_by_node
+
     async def _renew(self) -> None:
         if self._lease_id:
             await self._store.keep_alive(self._lease_id)
@@ -183,6 +246,7 @@
         self._is_listed = True
         self._listed_at_ms = self._clock.now_ms()
         self._members_due_ms = self._listed_at_ms
+        self._become_introducer()
         _log.info("registered", revision=result.revision, lease=self._lease_id)
 
     async def _read_members(self) -> None:
@@ -193,15 +257,11 @@
         # first one after an outage must show whether the own key still exists.
         is_settled = now_ms - self._listed_at_ms > STALE_READ_AGE_MS
         may_be_stale = is_settled and not self._must_recheck_list
-        result = await self._store.get_prefix(self._prefix, may_be_stale=may_be_stale)
-        self._reachability.record_response(
-            "get_prefix_stale" if may_be_stale else "get_prefix"
-        )
+        members_by_node = await self._list_members(may_be_stale=may_be_stale)
         self._must_recheck_list = False
         interval_ms = MEMBERS_INTERVAL_MS * random.uniform(0.8, 1.0)
         self._members_due_ms = now_ms + interval_ms
-        self._on_members(self._decode_members(result.entries))
-        if not any(entry.key == self._own_key for entry in result.entries):
+        if self._settings.node not in members_by_node:
             await self._restore_own_key()
 
     async def _restore_own_key(self) -> None:
@@ -231,6 +291,7 @@
                 address=value.address,
                 service_name=value.service,
                 zone=value.zone,
+                introducer=True,
             )
         return members_by_node
 
--- a/packages/vanillapitch-wire/idl/relay.thrift
+++ b/packages/vanillapitch-wire/idl/relay.thrift
@@ -13,6 +13,7 @@
   2: required string address;     // of the peer listener, host:port
   3: required string service_name;
   4: required string zone;
+  5: required bool introducer;    // whether it is listed in the store
 }
 
 // State of the owner's endpoint at the time of sending.
@@ -97,6 +98,14 @@
   4: required list<string> zones_out;
 }
 
+// Asks for the members that the receiver reaches, now and whenever it learns of more.
+struct MembersRequest {
+}
+
+struct Members {
+  1: required list<MemberInfo> members;
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Hello hello;
@@ -109,4 +118,6 @@
   8: optional SnapshotRequest snapshot_request;
   9: optional Snapshot snapshot;
   10: optional Strike strike;
+  11: optional MembersRequest members_request;
+  12: optional Members members;
 }
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
@@ -107,6 +107,7 @@
      - address
      - service_name
      - zone
+     - introducer
 
     """
 
@@ -115,14 +116,16 @@
         'address',
         'service_name',
         'zone',
+        'introducer',
     )
 
 
-    def __init__(self, node=None, address=None, service_name=None, zone=None,):
+    def __init__(self, node=None, address=None, service_name=None, zone=None, introducer=None,):
         self.node = node
         self.address = address
         self.service_name = service_name
         self.zone = zone
+        self.introducer = introducer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -153,6 +156,11 @@
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.introducer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -179,6 +187,10 @@
             oprot.writeFieldBegin('zone', TType.STRING, 4)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
+        if self.introducer is not None:
+            oprot.writeFieldBegin('introducer', TType.BOOL, 5)
+            oprot.writeBool(self.introducer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -191,6 +203,8 @@
             raise TProtocolException(message='Required field service_name is unset!')
         if self.zone is None:
             raise TProtocolException(message='Required field zone is unset!')
+        if self.introducer is None:
+            raise TProtocolException(message='Required field introducer is unset!')
         return
 
     def __repr__(self):
@@ -1511,6 +1525,135 @@
         return not (self == other)
 
 
+class MembersRequest(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MembersRequest')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Members(object):
+    """
+    Attributes:
+     - members
+
+    """
+
+    __slots__ = (
+        'members',
+    )
+
+
+    def __init__(self, members=None,):
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = MemberInfo()
+                        _elem33.read(iprot)
+                        self.members.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Members')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter34 in self.members:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1524,6 +1667,8 @@
      - snapshot_request
      - snapshot
      - strike
+     - members_request
+     - members
 
     """
 
@@ -1538,10 +1683,12 @@
         'snapshot_request',
         'snapshot',
         'strike',
+        'members_request',
+        'members',
     )
 
 
-    def __init__(self, hello=None, call=None, reply=None, cancel=None, ping=None, pong=None, report=None, snapshot_request=None, snapshot=None, strike=None,):
+    def __init__(self, hello=None, call=None, reply=None, cancel=None, ping=None, pong=None, report=None, snapshot_request=None, snapshot=None, strike=None, members_request=None, members=None,):
         self.hello = hello
         self.call = call
         self.reply = reply
@@ -1552,6 +1699,8 @@
         self.snapshot_request = snapshot_request
         self.snapshot = snapshot
         self.strike = strike
+        self.members_request = members_request
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1622,6 +1771,18 @@
                     self.strike.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.members_request = MembersRequest()
+                    self.members_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.members = Members()
+                    self.members.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1672,6 +1833,14 @@
             oprot.writeFieldBegin('strike', TType.STRUCT, 10)
             self.strike.write(oprot)
             oprot.writeFieldEnd()
+        if self.members_request is not None:
+            oprot.writeFieldBegin('members_request', TType.STRUCT, 11)
+            self.members_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.STRUCT, 12)
+            self.members.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1708,6 +1877,7 @@
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'zone', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'introducer', None, None, ),  # 5
 )
 all_structs.append(EndpointReport)
 EndpointReport.thrift_spec = (
@@ -1799,6 +1969,14 @@
     (3, TType.STRING, 'configuration', 'BINARY', None, ),  # 3
     (4, TType.LIST, 'zones_out', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
+all_structs.append(MembersRequest)
+MembersRequest.thrift_spec = (
+)
+all_structs.append(Members)
+Members.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [MemberInfo, None], False), None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1812,6 +1990,8 @@
     (8, TType.STRUCT, 'snapshot_request', [SnapshotRequest, None], None, ),  # 8
     (9, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 9
     (10, TType.STRUCT, 'strike', [Strike, None], None, ),  # 10
+    (11, TType.STRUCT, 'members_request', [MembersRequest, None], None, ),  # 11
+    (12, TType.STRUCT, 'members', [Members, None], None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/relay.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/relay.py
@@ -18,6 +18,8 @@
     HeaderField,
     Hello,
     MemberInfo,
+    Members,
+    MembersRequest,
     Ping,
     Pong,
     Reply,
@@ -39,6 +41,8 @@
     "HeaderField",
     "Hello",
     "MemberInfo",
+    "Members",
+    "MembersRequest",
     "Ping",
     "Pong",
     "Reply",
@@ -48,7 +52,7 @@
     "encode_frame",
 ]
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 _LENGTH_BYTES = 4
 # A configuration allows bodies of up to 64 MB; the rest is for the headers.
 MAX_FRAME_BYTES = 65 * 1024 * 1024
@@ -65,6 +69,8 @@
     SnapshotRequest: "snapshot_request",
     Snapshot: "snapshot",
     Strike: "strike",
+    MembersRequest: "members_request",
+    Members: "members",
 }
 Message: TypeAlias = (
     Hello
@@ -77,6 +83,8 @@
     | SnapshotRequest
     | Snapshot
     | Strike
+    | MembersRequest
+    | Members
 )
 
 
