Leave a lost store to the followers

Cause: a daemon that lost its watch read the store again until it answered, whether it was a follower or not, so the failed calls of an outage grew with the fleet.

Change: it waits until it is a follower again.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
@@ -100,6 +100,7 @@
         while True:
             try:
                 if revision is None:
+                    await self._follower_event.wait()
                     revision = await self._read_all()
                     retry_ms = RETRY_DELAY_MIN_MS
                 await self._watch_from(revision)
