Wait longer for the second introducer of a zone

Cause: daemons that had found one introducer in a stale listing read the store once more, exactly, to list themselves.

Change: one listed introducer is enough while its link is not up yet.

Ruled out: no second introducer, since a zone would then lose its only one.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -190,14 +190,17 @@
         await asyncio.sleep(random.uniform(0.0, delay_ms) / 1_000.0)
         if self._stopping or self._hub.count_zone_introducers() > reached:
             return False
+        # Once the link to a listed introducer is up, this daemon may wait longer.
+        needed = INTRODUCERS_PER_ZONE if reached else 1
         # A stale read is enough to find introducers, but not to conclude that there are
         # too few.
         for may_be_stale in (True, False):
             listed = await self._list_members(may_be_stale=may_be_stale)
             zones = [member.zone for member in listed.values()]
-            if zones.count(self._settings.zone) >= INTRODUCERS_PER_ZONE:
+            if zones.count(self._settings.zone) >= needed:
                 self._delay_ms = NO_INTRODUCER_DELAY_MS
                 return False
+            needed = INTRODUCERS_PER_ZONE
         return True
 
     async def _list_members(self, *, may_be_stale: bool) -> dict[str, MemberInfo]:
