Wait for both introducers before store calls are counted

Cause: with the longer delay of the second introducer, its calls fell into the windows that two tests count.

Change: these tests wait until it is listed.

--- a/packages/vanillapitch-relay/tests/test_store_economy.py
+++ b/packages/vanillapitch-relay/tests/test_store_economy.py
@@ -5,6 +5,7 @@
 import zlib
 
 import msgspec
+import pytest
 from vanillapitch_adapter.main import DIALECT
 from vanillapitch_relay import registration
 from vanillapitch_relay.configuration_state import ConfigurationState
@@ -22,6 +23,17 @@
 NEW_ROUTE = make_route("new", service="shop")
 
 
+@pytest.fixture(autouse=True)
+def second_introducer_follows_soon(monkeypatch):
+    """Shorten the delay of the second introducer of a zone."""
+    monkeypatch.setattr(registration, "ONE_INTRODUCER_DELAY_MS", 200.0)
+
+
+async def wait_until_settled(fleet):
+    await fleet.wait_until(lambda: len(fleet.store.keys("owners/")) >= 2)
+    await asyncio.sleep(1.0)
+
+
 def versions(fleet):
     return {
         vm.daemon._configuration.version for vm in fleet.vms if vm.daemon is not None
@@ -37,7 +49,7 @@
     # all of them, and every completed watch is billed (0.184 of the worth, the users'
     # measure, with 90 daemons).
     async def scenario(fleet):
-        await asyncio.sleep(1.0)
+        await wait_until_settled(fleet)
         fleet.store.calls_by_path.clear()
         await fleet.add_vm(ONE_ZONE[0], "a")
         await fleet.wait_until_connected()
@@ -59,7 +71,7 @@
     # Guards against a restart that takes seven calls to the store because it does not
     # reuse its predecessor's key and lease and first conflicts with them.
     async def scenario(fleet):
-        await asyncio.sleep(0.6)
+        await wait_until_settled(fleet)
         introducers = fleet.store.keys("owners/")
         (vm,) = (vm for vm in fleet.vms if introducers[0].endswith(vm.settings.node))
         await fleet.kill_daemon(vm)
@@ -90,7 +102,7 @@
         fleet.store.calls_by_path.clear()
         await asyncio.gather(*(fleet.start_daemon(vm) for vm in fleet.vms))
         await fleet.wait_until_connected(timeout_s=3)
-        await asyncio.sleep(0.5)
+        await wait_until_settled(fleet)
         return dict(fleet.store.calls_by_path), fleet.store.keys("owners/")
 
     calls, keys = run_fleet(scenario, services=ONE_ZONE)
@@ -104,6 +116,7 @@
     monkeypatch.setattr(registration, "LEASE_TTL_MS", 1_500)
 
     async def scenario(fleet):
+        await wait_until_settled(fleet)
         introducers = fleet.store.keys("owners/")
         for vm in fleet.vms:
             if f"owners/{vm.settings.node}" in introducers:
@@ -120,7 +133,7 @@
     # daemons watch and renew, and the six others must make fewer than 1.5 calls a
     # second together.
     async def scenario(fleet):
-        await asyncio.sleep(1.0)
+        await wait_until_settled(fleet)
         fleet.store.faults.refusal = Refusal.BUSY
         fleet.store.cut_connections()
         await asyncio.sleep(2.0)
