Check late replies and deadlines by what they must not cause

Change: the first checks that the connection of a late reply is not reusable and that the next call gets its own reply; the second counts from its start.

--- a/packages/vanillapitch-wire/tests/test_connection.py
+++ b/packages/vanillapitch-wire/tests/test_connection.py
@@ -133,9 +133,14 @@
 
 def test_late_reply_ends_the_call(server):
     # Guards against a call that waits past its deadline of 100 ms because the reply
-    # takes 500 ms.
+    # takes 500 ms, and against the late reply as the result of a later call: the
+    # connection that receives it must not count as reusable.
+    connection = open_connection(server)
     with pytest.raises(CallTimedOut):
-        call(open_connection(server), delay_ms=500, timeout_ms=100)
+        call(connection, body=b"first", delay_ms=500, timeout_ms=100)
+    time.sleep(0.6)
+    assert connection.is_stale()
+    assert call(open_connection(server), body=b"second").body == b"second"
 
 
 def test_cancelled_call_ends_early(server):
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -79,6 +79,7 @@
     # Guards against work that continues after the caller's deadline (400 ms): the
     # deadline must be forwarded and the connection closed, and the caller must get the
     # refusal within 1 s.
+    before = count_disconnects(fleet)
     timed_out = call("/catalog/item?work_ms=3000", vm=fleet.vms[0], timeout_ms=400)
     assert (timed_out.status, timed_out.code) == (504, "deadline_unknown")
     assert timed_out.latency_ms < 1_000
@@ -93,7 +94,7 @@
         return executions and 0 < executions[0].remaining_ms <= 400 and executions
 
     assert within(deadline_arrived, timeout_s=2)
-    assert within(lambda: count_disconnects(fleet) > 0, timeout_s=2)
+    assert within(lambda: count_disconnects(fleet) > before, timeout_s=2)
 
 
 def count_disconnects(fleet):
