Spread complete lists of members over time

Cause: an introducer sent the complete list to all daemons of its zone at once, every 30 s and when it was new: 40 lists of 15 KB are half a second of a link of 10 Mbit/s.

Change: two lists between two checks of the links (100 ms); each daemon has its own time.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -41,6 +41,9 @@
 # Interval of sending all members to the daemons that requested them, which finds those
 # that removed their links to each other.
 MEMBERS_REFRESH_MS = 30_000.0
+# Complete lists of members that are sent between two checks of the links. A list of 200
+# members has 15 KB, which takes 12 ms on a link of 10 Mbit/s.
+MEMBER_LISTS_PER_CHECK = 2
 # Introducers of other availability zones that a daemon asks for members while it
 # reaches none of its own zone.
 OTHER_ZONE_INTRODUCERS = 2
@@ -63,6 +66,7 @@
     connection: FramedConnection
     tasks_by_call_id: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
     wants_members: bool = False
+    members_due_ms: float = 0.0
 
 
 class Hub:
@@ -99,7 +103,7 @@
         self._configuration = configuration
         self._listed_members: dict[str, MemberInfo] = {}
         self._new_members_by_node: dict[str, MemberInfo] = {}
-        self._members_sent_ms = clock.now_ms()
+        self._member_lists_left = MEMBER_LISTS_PER_CHECK
         self._has_met_introducer = False
         self._incoming: dict[FramedConnection, _Incoming] = {}
 
@@ -174,19 +178,26 @@
                 link.send(MembersRequest())
 
     def _send_members(self) -> None:
-        """Send the members that are new since the last call, or all if that is due."""
+        """Send the members that are new since the last call, and lists that are due."""
         now_ms = self._clock.now_ms()
         members = list(self._new_members_by_node.values())
         self._new_members_by_node.clear()
-        if now_ms - self._members_sent_ms >= MEMBERS_REFRESH_MS:
-            self._members_sent_ms = now_ms
-            members = self._reachable_members()
-        if not members:
-            return
-        frame = encode_frame(Members(members=members))
-        for incoming in self._incoming.values():
-            if incoming.wants_members:
+        subscribers = [item for item in self._incoming.values() if item.wants_members]
+        if members:
+            frame = encode_frame(Members(members=members))
+            for incoming in subscribers:
                 incoming.connection.send_frame(frame)
+        self._member_lists_left = MEMBER_LISTS_PER_CHECK
+        for incoming in subscribers:
+            if incoming.members_due_ms <= now_ms:
+                self._send_member_list(incoming)
+
+    def _send_member_list(self, incoming: _Incoming) -> None:
+        """Send all members, or leave it to the next check if many lists were sent."""
+        if self._member_lists_left > 0:
+            self._member_lists_left -= 1
+            incoming.members_due_ms = self._clock.now_ms() + MEMBERS_REFRESH_MS
+            incoming.connection.send(Members(members=self._reachable_members()))
 
     def _reachable_members(self) -> list[MemberInfo]:
         links = self.links_by_node.values()
@@ -352,7 +363,7 @@
             self._on_ingress_hello(connection, message)
         elif isinstance(message, MembersRequest):
             incoming.wants_members = True
-            connection.send(Members(members=self._reachable_members()))
+            self._send_member_list(incoming)
         else:
             self._on_peer_message(connection, message)
 
