Refuse a call on a link that is down as not sent

Cause: found while reading the change: such a call was reported as broken, so a request that may run once ended as 502 although nothing was sent.

Change: a call on a link that is down is a refusal, with a code of its own.

Result: the new test passes; with the old exception it gets 502 by reading, not by a run.

--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_explain.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_explain.py
@@ -20,6 +20,7 @@
     "no_route": "no route of the current configuration matches it",
     "no_configuration": "the daemon had no configuration yet",
     "link_broken": "the link to its owner failed; the request may have been executed",
+    "link_down": "the link to its owner was down, so the request was not sent",
     "connection_broken": "the endpoint's connection ended before a complete response",
     "connect_failed": "no connection to the endpoint could be opened",
     "answer_invalid": "the endpoint's response was invalid",
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -20,7 +20,7 @@
 from vanillapitch_relay.http_responses import make_response
 from vanillapitch_relay.hub import Hub
 from vanillapitch_relay.line_log import EventLog
-from vanillapitch_relay.links import LinkBroken
+from vanillapitch_relay.links import LinkBroken, LinkDown
 from vanillapitch_relay.metrics import Metrics
 from vanillapitch_relay.model import Dialect, Ending, Route, Settings
 from vanillapitch_relay.owner import Owner
@@ -317,6 +317,8 @@
             return await self._hub.links_by_node[node].call(
                 call, may_move=lambda: self._may_move(progress)
             )
+        except LinkDown:
+            return self._owner.make_reply(call, Ending.REFUSED, "link_down")
         except LinkBroken:
             return self._owner.make_reply(call, Ending.FAILED, "link_broken")
         finally:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
@@ -30,7 +30,7 @@
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import EndpointState
 
-__all__ = ["FramedConnection", "LinkBroken", "OwnerLink"]
+__all__ = ["FramedConnection", "LinkBroken", "LinkDown", "OwnerLink"]
 
 _log = EventLog(part="links")
 
@@ -52,6 +52,10 @@
     """The link ended while a call was in flight."""
 
 
+class LinkDown(Exception):  # noqa: N818
+    """The link was down, so the call was not sent."""
+
+
 class FramedConnection(asyncio.Protocol):
     """A connection that carries framed messages.
 
@@ -229,13 +233,15 @@
 
         Raises
         ------
+        LinkDown
+            If the link is down; the call was not sent.
         LinkBroken
             If the link ended; the call may have been executed.
         """
         call.id = next(self._call_ids)
         connection = self._connection
         if connection is None:
-            raise LinkBroken("the link is down")
+            raise LinkDown(self.member.node)
         pending = _PendingCall(
             connection=connection,
             future=asyncio.get_running_loop().create_future(),
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -44,7 +44,8 @@
 STALE_READ_AGE_MS = 5_000.0
 
 
-# Introducers of each availability zone; one more than can fail between two checks.
+# With two introducers in each availability zone, a new daemon still finds one while the
+# other is replaced.
 INTRODUCERS_PER_ZONE = 2
 # Interval at which a daemon that is not listed counts the introducers it reaches.
 INTRODUCERS_CHECK_MS = 500.0
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -515,3 +515,19 @@
     services = (*TWO_ZONES, ServiceSpec(name="stock", zones=("c",)))
     result = run_fleet(scenario, services=services, timeout_s=5.0)
     assert result == (200, ["answered", "cut"])
+
+
+def test_a_call_on_a_link_that_is_down_is_refused_as_not_run(run_fleet):
+    # Guards against a request that is reported as possibly executed, although the link
+    # to its owner was down and nothing was sent.
+    async def scenario(fleet):
+        await fleet.kill_daemon(fleet.vms[2])
+        await asyncio.sleep(0.05)
+        ingress = fleet.vms[0].daemon._ingress
+        nodes = iter(("vm-3", None))
+        ingress._choose = lambda progress: next(nodes)
+        return await fleet.call("/stock-once/a", method="POST")
+
+    response = run_fleet(scenario)
+    assert response.status == 503
+    assert "retry-after" in response.headers
