Log the request rate that an endpoint names

What callers saw: an overloaded endpoint went on to get all requests, and neither logs nor metrics showed that it had named a limit.

Change: owners decode it from responses and health checks of the incarnation that they know, log each change and export a gauge. Nothing is limited yet. A response without the header ends the limit only if it is that of a health check that was sent after the last one with it, since responses on several connections arrive in any order.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -7,6 +7,7 @@
 from vanillapitch_core.exceptions import check_invariant
 
 from vanillapitch_relay.cold_rate import ColdRate
+from vanillapitch_relay.named_rate import NamedRate
 
 __all__ = [
     "AdmissionState",
@@ -98,6 +99,8 @@
         Why all calls are refused; None if calls are admitted.
     cold : ColdRate
         Rate limit while the endpoint is cold.
+    named_rate : NamedRate
+        Rate that the endpoint names.
     running : set of int
         Ids of the tickets of calls at the endpoint.
     waiting : list of CallTicket
@@ -112,6 +115,7 @@
     max_connections: int = 1
     blocked: RefusalReason | None = RefusalReason.UNKNOWN_ENDPOINT
     cold: ColdRate = dataclasses.field(default_factory=ColdRate)
+    named_rate: NamedRate = dataclasses.field(default_factory=NamedRate)
     running: set[int] = dataclasses.field(default_factory=set)
     waiting: list[CallTicket] = dataclasses.field(default_factory=list)
     latency_ms: float = INITIAL_LATENCY_MS
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -357,6 +358,10 @@
         self._metrics.set_gauge("endpoint_running", len(self._owner.admission.running))
         self._metrics.set_gauge("endpoint_waiting", len(self._owner.admission.waiting))
         self._metrics.set_gauge("endpoint_connections", self._owner.parts.pool.opened)
+        rate_limit = self._owner.admission.named_rate.per_s
+        self._metrics.set_gauge(
+            "endpoint_rate_limit", math.inf if rate_limit is None else rate_limit
+        )
         self._metrics.set_gauge("links", len(self._hub.links_by_node))
         self._metrics.set_gauge("log_lines_dropped", self._writer.dropped)
         self._metrics.set_gauge("revision", self._configuration.changed_revision)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -123,6 +123,8 @@
         self._owner.admission.max_connections = limits.max_connections
         self._apply_cold_limits(limits)
         was_usable = observed.reachable and observed.verified
+        incarnation = observed.incarnation
+        sent_ms = self._owner.parts.clock.now_ms()
         try:
             response = await self._probe(limits.health_path)
         except ConnectFailed as error:
@@ -139,6 +141,10 @@
         else:
             self._timed_out_probes = 0
             self._record_response(observed, response)
+            if observed.verified:
+                self._owner.record_notices(
+                    response.headers, incarnation=incarnation, check_sent_ms=sent_ms
+                )
         if was_usable and not (observed.reachable and observed.verified):
             self._strike_broken_requests()
         self._owner.refresh()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -72,6 +72,8 @@
         Monotonic time until which it is cold.
     departures_known : bool
         Whether the departure that an earlier process stored has been read.
+    incarnation : int
+        Number of the current incarnation among those that this process knew.
     """
 
     service: str
@@ -87,6 +89,7 @@
     answering_instance: str = ""
     cold_until_ms: float = 0.0
     departures_known: bool = False
+    incarnation: int = 0
 
 
 class AnnouncementVerdict(enum.Enum):
@@ -138,6 +141,7 @@
         observed.born_ms >= 0 and announcement.born_ms != observed.born_ms
     )
     if is_new:
+        observed.incarnation += 1
         observed.verified = False
         observed.leaving = _has_left(observed, announcement)
         observed.cold_until_ms = 0.0
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -197,6 +197,8 @@
     signature : bytes
         Signature that proves that a response comes from the endpoint; required on
         each success.
+    rate_limit : bytes
+        Requests per second that an endpoint accepts from all daemons together.
     """
 
     request_id: bytes
@@ -208,6 +210,7 @@
     instance: bytes
     cold_remaining: bytes
     signature: bytes
+    rate_limit: bytes
 
 
 @_frozen
@@ -258,6 +261,8 @@
         Body of the response to an announcement.
     decode_load : callable
         Header value to `EndpointLoad`, or None when it cannot be read.
+    decode_rate_limit : callable
+        Header value to requests per second, or None when it cannot be read.
     find_caller_request : callable
         Id of an attempt to the id of the request whose execution sent it, or empty.
     """
@@ -269,6 +274,7 @@
     decode_announcement: Callable[[str, bytes], Announcement | Departure]
     encode_acknowledgement: Callable[[], bytes]
     decode_load: Callable[[bytes], EndpointLoad | None]
+    decode_rate_limit: Callable[[bytes], float | None]
     find_caller_request: Callable[[str], str]
 
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -145,6 +145,7 @@
         self._execution_times = ExecutionTimes()
         self._timer: asyncio.TimerHandle | None = None
         self._state = EndpointState.UNKNOWN
+        self._incarnation = parts.observed.incarnation
 
     def report(self) -> EndpointReport:
         """Return the report on the endpoint for ingresses."""
@@ -166,6 +167,9 @@
         """Update admission from the state of the endpoint and of its zone."""
         observed = self.parts.observed
         now_ms = self._now_ms()
+        if observed.incarnation != self._incarnation:
+            self._incarnation = observed.incarnation
+            self._lift_rate_limit()
         zone_in_service = self.parts.zone_in_service()
         if zone_in_service and self._state is EndpointState.ZONE_OUT:
             apply_zone_return(observed)
@@ -388,6 +392,7 @@
             instance=self.parts.observed.instance,
             remaining_ms=remaining_ms,
         )
+        incarnation = self.parts.observed.incarnation
         try:
             async with asyncio.timeout(remaining_ms / 1_000.0):
                 response = await connection.exchange(request)
@@ -399,6 +404,8 @@
         except ResponseInvalid as invalid:
             error = invalid
         else:
+            if response.status != STATUS_OTHER_INSTANCE:
+                self.record_notices(response.headers, incarnation=incarnation)
             return self._classify_response(call, response)
         self._record_failure(call, error)
         return self.make_reply(call, Ending.FAILED, error.code)
@@ -437,6 +444,55 @@
             return
         self.speed.record(endpoint_load.speed_percent, now_ms=self._now_ms())
 
+    def record_notices(
+        self,
+        headers: Headers,
+        *,
+        incarnation: int,
+        check_sent_ms: float | None = None,
+    ) -> None:
+        """Apply what the endpoint states about itself in a response.
+
+        Parameters
+        ----------
+        headers : Headers
+            Headers of the response.
+        incarnation : int
+            Incarnation to which the request was sent.
+        check_sent_ms : float or None
+            When the request was sent, if it was a health check. Only these end a rate
+            limit, since they are sent regularly and in order.
+        """
+        if incarnation != self.parts.observed.incarnation:
+            return
+        value = find_header(headers, self.parts.dialect.headers.rate_limit)
+        rate = self.admission.named_rate
+        if value is not None:
+            self._name_rate_limit(value)
+        elif check_sent_ms is not None and check_sent_ms >= rate.named_ms:
+            self._lift_rate_limit()
+
+    def _name_rate_limit(self, value: bytes) -> None:
+        per_s = self.parts.dialect.decode_rate_limit(value)
+        if per_s is None:
+            _log.warning("rate_limit_unreadable", value=value.decode("latin-1"))
+            return
+        if self.admission.named_rate.name(per_s, now_ms=self._now_ms()):
+            self._log_rate_limit(per_s)
+
+    def _lift_rate_limit(self) -> None:
+        if self.admission.named_rate.lift():
+            self._log_rate_limit(None)
+
+    def _log_rate_limit(self, per_s: float | None) -> None:
+        _log.info(
+            "rate_limit",
+            per_s=per_s,
+            instance=self.parts.observed.instance,
+            running=len(self.admission.running),
+            waiting=len(self.admission.waiting),
+        )
+
     def _refuse(
         self, call: Call, reason: RefusalReason, *, source: str, arrived_ms: float
     ) -> Reply:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -58,6 +58,8 @@
         Whether a refusal echoes the id of its request.
     health_headers : dict of str to str
         Headers that replace those of responses to health checks.
+    rate_limit : str
+        Requests per second that all responses name; empty for none.
     """
 
     response: str = "whole"
@@ -66,6 +68,7 @@
     crash_on: str = ""
     refusals_have_ids: bool = True
     health_headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    rate_limit: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -400,6 +403,7 @@
                 f"{_PREFIX}Attempt-Id": request_id,
                 f"{_PREFIX}Server-Seal": f"seal.{self.instance}",
                 f"{_PREFIX}Server-Load": self._load(),
+                **self._notices(),
             },
         )
 
@@ -413,10 +417,16 @@
                 f"{_PREFIX}Instance-Id": self.instance,
                 f"{_PREFIX}Server-Load": self._load(),
                 f"{_PREFIX}Cold-Remaining-Ms": str(cold_ms),
+                **self._notices(),
                 **self.faults.health_headers,
             },
         )
 
+    def _notices(self) -> dict[str, str]:
+        if not self.faults.rate_limit:
+            return {}
+        return {"Server-Limit": self.faults.rate_limit}
+
     def _load(self) -> str:
         return f"{self._running},0,{self.slots},{self.speed_percent}"
 
