Limit an endpoint to the request rate that it names

Class: a request of a peer that is only relayed.

Change: the owner, the only sender to its endpoint, takes a token for each send from a bucket that is refilled at the named rate. The rates of cold and of overloaded endpoints are combined in one place, so reports to ingresses, the queue and its timer know both. A waiting call for which a rate leaves no token in time is refused at once instead of when its wait ends.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/admission.py
@@ -19,6 +19,7 @@
     "finish",
     "estimate_wait_ms",
     "expire",
+    "find_overload_reason",
     "next_event_ms",
     "offer",
     "wait_limit_ms",
@@ -57,6 +58,7 @@
     QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
     SLOW = "slow"
+    RATE_LIMITED = "rate_limited"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,10 +132,24 @@
         return max(1, limit)
 
     def limit_now(self, *, now_ms: float) -> int:
-        """Return the limit, or fewer calls if the cold rate does not allow as many."""
-        free = self.cold.find_free_capacity(now_ms=now_ms)
+        """Return the limit, or fewer calls if a rate does not allow as many."""
+        free = self.find_free_capacity(now_ms=now_ms)
         return int(min(self.limit, len(self.running) + free))
 
+    def find_free_capacity(self, *, now_ms: float) -> float:
+        """Return how many calls the rates allow now; infinite without a rate."""
+        return min(
+            self.cold.find_free_capacity(now_ms=now_ms),
+            self.named_rate.find_free_capacity(now_ms=now_ms),
+        )
+
+    def find_rate_wait_ms(self, *, ahead: int, now_ms: float) -> float:
+        """Return how long the rates delay a call at least, behind `ahead` others."""
+        return max(
+            self.cold.find_wait_ms(ahead=ahead, now_ms=now_ms),
+            self.named_rate.find_wait_ms(ahead=ahead, now_ms=now_ms),
+        )
+
 
 def wait_limit_ms(
     *, objective_ms: float, remaining_ms: float, typical_ms: float
@@ -166,7 +182,7 @@
     ahead = bisect.bisect_right(state.waiting, _rank(ticket), key=_rank)
     free = state.limit - len(state.running)
     wait_ms = max(0, ahead - free + 1) * state.latency_ms / state.limit
-    return max(wait_ms, state.cold.find_wait_ms(ahead=ahead, now_ms=now_ms))
+    return max(wait_ms, state.find_rate_wait_ms(ahead=ahead, now_ms=now_ms))
 
 
 def offer(
@@ -192,14 +208,22 @@
         return state.blocked
     wait_ms = estimate_wait_ms(state, ticket, now_ms=now_ms)
     if now_ms + wait_ms > ticket.wait_until_ms:
-        is_cold = state.cold.is_cold(now_ms=now_ms)
-        return RefusalReason.COLD if is_cold else RefusalReason.OVERLOADED
+        return find_overload_reason(state, now_ms=now_ms)
     if len(state.waiting) >= QUEUE_LIMIT_FACTOR * state.limit:
         return RefusalReason.OVERLOADED
     bisect.insort(state.waiting, ticket, key=_rank)
     return None
 
 
+def find_overload_reason(state: AdmissionState, *, now_ms: float) -> RefusalReason:
+    """Return why a call cannot be sent in time although no state forbids it."""
+    if state.named_rate.find_wait_ms(ahead=0, now_ms=now_ms) > 0.0:
+        return RefusalReason.RATE_LIMITED
+    if state.cold.is_cold(now_ms=now_ms):
+        return RefusalReason.COLD
+    return RefusalReason.OVERLOADED
+
+
 def admit_next(state: AdmissionState, *, now_ms: float) -> CallTicket | None:
     """Remove the next call that may be sent now from the queue.
 
@@ -219,7 +243,7 @@
         return None
     if len(state.running) >= state.limit:
         return None
-    if not state.cold.find_free_capacity(now_ms=now_ms):
+    if not state.find_free_capacity(now_ms=now_ms):
         return None
     ticket = state.waiting.pop(0)
     start(state, ticket, now_ms=now_ms)
@@ -245,7 +269,7 @@
     """
     if state.blocked is not None or state.running:
         return False
-    if not state.cold.find_free_capacity(now_ms=now_ms):
+    if not state.find_free_capacity(now_ms=now_ms):
         return False
     start(state, ticket, now_ms=now_ms)
     return True
@@ -256,6 +280,7 @@
     check_invariant(ticket.id not in state.running, "a call must be sent only once")
     state.running.add(ticket.id)
     state.cold.record_send(now_ms=now_ms)
+    state.named_rate.record_send(now_ms=now_ms)
     check_invariant(
         len(state.running) <= state.slots, "running calls must not exceed the slots"
     )
@@ -289,24 +314,27 @@
 
 
 def expire(state: AdmissionState, *, now_ms: float) -> list[CallTicket]:
-    """Remove and return the calls that waited too long or cannot be sent."""
-    if state.blocked is not None:
-        expired = list(state.waiting)
-    else:
-        expired = [entry for entry in state.waiting if entry.wait_until_ms <= now_ms]
-    for ticket in expired:
-        state.waiting.remove(ticket)
+    """Remove and return the calls that waited too long or cannot be sent in time."""
+    kept: list[CallTicket] = []
+    expired = []
+    for ticket in state.waiting:
+        wait_ms = state.find_rate_wait_ms(ahead=len(kept), now_ms=now_ms)
+        if state.blocked is not None or now_ms + wait_ms >= ticket.wait_until_ms:
+            expired.append(ticket)
+        else:
+            kept.append(ticket)
+    state.waiting[:] = kept
     return expired
 
 
 def next_event_ms(state: AdmissionState, *, now_ms: float) -> float | None:
-    """Return when a waiting call expires or the cold rate allows one, or None."""
+    """Return when a waiting call expires or the rates allow one, or None."""
     if not state.waiting:
         return None
     next_ms = min(ticket.wait_until_ms for ticket in state.waiting)
-    cold_wait_ms = state.cold.find_wait_ms(ahead=0, now_ms=now_ms)
-    if cold_wait_ms > 0.0:
-        next_ms = min(next_ms, now_ms + cold_wait_ms)
+    rate_wait_ms = state.find_rate_wait_ms(ahead=0, now_ms=now_ms)
+    if rate_wait_ms > 0.0:
+        next_ms = min(next_ms, now_ms + rate_wait_ms)
     return next_ms
 
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/named_rate.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/named_rate.py
@@ -59,6 +59,42 @@
         self.per_s = None
         return was_limited
 
+    def record_send(self, *, now_ms: float) -> None:
+        """Take a token for a send."""
+        if self.per_s is not None:
+            self._refill(now_ms=now_ms)
+            self.tokens -= 1.0
+
+    def find_free_capacity(self, *, now_ms: float) -> float:
+        """Return how many calls may be sent now; infinite without a limit."""
+        if self.per_s is None:
+            return math.inf
+        self._refill(now_ms=now_ms)
+        return max(0, math.floor(self.tokens))
+
+    def find_wait_ms(self, *, ahead: int, now_ms: float) -> float:
+        """Return how long the limit delays a call behind `ahead` others.
+
+        Parameters
+        ----------
+        ahead : int
+            Calls that are sent before it.
+        now_ms : float
+            Current time in milliseconds.
+
+        Returns
+        -------
+        float
+            Milliseconds; infinite if the endpoint accepts nothing.
+        """
+        if self.per_s is None:
+            return 0.0
+        self._refill(now_ms=now_ms)
+        missing = ahead + 1 - self.tokens
+        if missing <= 0.0:
+            return 0.0
+        return missing / self.per_s * _MS_PER_S if self.per_s else math.inf
+
     def _refill(self, *, now_ms: float) -> None:
         elapsed_s = (now_ms - self.refilled_ms) / _MS_PER_S
         burst = max(1.0, self.per_s * BURST_MS / _MS_PER_S)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -328,7 +328,9 @@
         # Calls stay in the queue during a slow period, because an execution that starts
         # in it occupies its slot for as long as several others would.
         is_held = self.speed.is_slow(now_ms=now_ms, within_ms=HOLD_MS)
-        refusal = self.admission.blocked or RefusalReason.OVERLOADED
+        refusal = self.admission.blocked or admission.find_overload_reason(
+            self.admission, now_ms=now_ms
+        )
         for ticket in admission.expire(self.admission, now_ms=now_ms):
             is_sent = is_held and admission.admit_late(
                 self.admission, ticket, now_ms=now_ms
