Stop requests to an endpoint whose responses say that it leaves

What callers saw: requests sent to an endpoint until its announcement was acknowledged, although its responses said that it leaves; a late acknowledgement, or none, let them run into its end (DRAIN).

Cause: the same as for the rate limit, a header that was forwarded and read by nobody.

Change: the owner treats such a response, or health check, of the incarnation that it knows as a departure. It is the one mechanism of announced departures: final for the incarnation and persisted once, whichever comes first. Until now the record was written when the announcement set the state, so a departure that was known before would not have been written. A write that failed is now repeated with the next announcement. A response with 421 is that of another instance and is ignored.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -86,7 +86,6 @@
                 address=announcement.address,
             )
             return False
-        was_leaving = observed.leaving
         previous_instance = observed.instance
         verdict = apply_announcement(observed, announcement, now_ms=now_ms)
         if verdict is not AnnouncementVerdict.ACCEPTED:
@@ -104,8 +103,8 @@
             self._owner.parts.pool.close_all()
             self._request_health_check()
         self._owner.refresh()
-        if observed.leaving and not was_leaving:
-            await self._store_departure()
+        if observed.leaving:
+            await self.store_departure()
         return verdict is not AnnouncementVerdict.OTHER_INCARNATION
 
     async def _apply_departure(self, departure: Departure) -> None:
@@ -118,9 +117,10 @@
             )
             return
         self._owner.refresh()
-        await self._store_departure()
+        await self.store_departure()
 
-    async def _store_departure(self) -> None:
+    async def store_departure(self) -> None:
+        """Persist that the endpoint leaves, unless that has been done."""
         observed = self._owner.parts.observed
         record = DepartureRecord(
             instance=observed.left_instance,
@@ -129,10 +129,11 @@
         )
         try:
             async with asyncio.timeout(STORE_TIMEOUT_MS / 1_000.0):
-                await self._departures.write(record)
+                is_written = await self._departures.write(record)
         except (StoreError, TimeoutError) as error:
             _log.warning(
                 "departure_not_stored", instance=record.instance, reason=repr(error)
             )
         else:
-            _log.info("departure_stored", instance=record.instance)
+            if is_written:
+                _log.info("departure_stored", instance=record.instance)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -177,6 +177,7 @@
             ),
             request_health_check=self._request_health_check,
             await_health_check=self._await_health_check,
+            store_departure=self._start_storing_departure,
         )
         self._hub.owner = self._owner
         self._hub.quarantine = self._quarantine
@@ -233,6 +234,7 @@
         )
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task] = []
+        self._departure_tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Serve until a stop signal, then finish the requests in flight."""
@@ -392,6 +394,11 @@
     async def _await_health_check(self) -> None:
         await self._monitor.await_health_check()
 
+    def _start_storing_departure(self) -> None:
+        task = asyncio.get_running_loop().create_task(self._receiver.store_departure())
+        self._departure_tasks.add(task)
+        task.add_done_callback(self._departure_tasks.discard)
+
     async def _use_store(self) -> None:
         """Read the store once, then stay registered and follow changes."""
         start = await self._read_store()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
@@ -1,5 +1,6 @@
-"""Persists acknowledged departures of endpoints across restarts of the daemon."""
+"""Persists departures of endpoints across restarts of the daemon."""
 
+import asyncio
 from collections.abc import Iterable
 
 import msgspec
@@ -25,7 +26,7 @@
 
 
 class DepartureRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Acknowledged departure of an endpoint, as stored.
+    """Departure of an endpoint, as stored.
 
     Attributes
     ----------
@@ -75,6 +76,9 @@
         self._reachability = reachability
         # Revision of the own record; 0 if there is none, None if unknown.
         self._revision: int | None = None
+        # Instance and start time of the departure that the store holds.
+        self._stored: tuple[str, int] | None = None
+        self._writes = asyncio.Lock()
 
     def find(self, entries: Iterable[Entry]) -> DepartureRecord | None:
         """Find the record that an earlier process on this VM stored.
@@ -93,7 +97,9 @@
         for entry in entries:
             if entry.key == self._key:
                 self._revision = entry.mod_revision
-                return _decode(entry)
+                record = _decode(entry)
+                self._stored = None if record is None else _identity(record)
+                return record
         return None
 
     async def remove_expired(self, entries: Iterable[Entry]) -> None:
@@ -130,19 +136,32 @@
         )
         _log.info("departures_removed", count=len(expired), done=result.succeeded)
 
-    async def write(self, record: DepartureRecord) -> None:
-        """Store that the departure of an endpoint was acknowledged.
+    async def write(self, record: DepartureRecord) -> bool:
+        """Store that an endpoint is leaving, unless the store holds this departure.
 
         Parameters
         ----------
         record : DepartureRecord
-            The acknowledged departure.
+            The departure.
+
+        Returns
+        -------
+        bool
+            Whether the store had to be written.
 
         Raises
         ------
         StoreError
             If the store did not confirm the write.
         """
+        async with self._writes:
+            if self._stored == _identity(record):
+                return False
+            await self._put(record)
+            self._stored = _identity(record)
+            return True
+
+    async def _put(self, record: DepartureRecord) -> None:
         put = Put(key=self._key, value=msgspec.json.encode(record))
         for _ in range(WRITE_ATTEMPTS):
             revision = await self._read_revision()
@@ -168,6 +187,10 @@
         return 0 if current.entry is None else current.entry.mod_revision
 
 
+def _identity(record: DepartureRecord) -> tuple[str, int]:
+    return record.instance, record.born_ms
+
+
 def _decode(entry: Entry) -> DepartureRecord | None:
     try:
         return msgspec.json.decode(entry.value, type=DepartureRecord)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_messages.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_messages.py
@@ -18,10 +18,12 @@
     "build_request",
     "classify_response",
     "copy_response",
+    "is_leaving",
 ]
 
 # The endpoint is not the instance that the request names.
 STATUS_OTHER_INSTANCE = 421
+_LEAVING = b"1"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,6 +118,12 @@
     )
 
 
+def is_leaving(headers: Headers, *, names: HeaderNames) -> bool:
+    """Return whether a response states that its endpoint is leaving."""
+    value = find_header(headers, names.leaving)
+    return value is not None and value.strip() == _LEAVING
+
+
 def copy_response(reply: Reply, response: HttpResponse) -> None:
     """Copy an endpoint's response into the reply for the ingress."""
     reply.status = response.status
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_monitor.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from vanillapitch_relay.cold_rate import compute_cold_limit
+from vanillapitch_relay.endpoint_messages import is_leaving
 from vanillapitch_relay.endpoint_state import (
     HealthCheckResult,
     ObservedEndpoint,
@@ -191,7 +192,8 @@
         apply_health(
             observed,
             HealthCheckResult(
-                healthy=response.status == 200,
+                healthy=response.status == 200
+                and not is_leaving(response.headers, names=names),
                 instance=instance.decode("latin-1"),
                 cold_remaining_ms=_parse_ms(cold),
                 slots=0 if endpoint_load is None else endpoint_load.slots,
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -11,6 +11,7 @@
     "AnnouncementVerdict",
     "apply_announcement",
     "apply_departure",
+    "apply_departure_notice",
     "apply_departure_record",
     "apply_health",
     "apply_unreachable",
@@ -26,7 +27,7 @@
     Attributes
     ----------
     healthy : bool
-        Whether the status was 200.
+        Whether the status was 200 and the endpoint is not leaving.
     instance : str
         Instance that answered, or empty.
     cold_remaining_ms : float
@@ -167,6 +168,17 @@
     return True
 
 
+def apply_departure_notice(observed: ObservedEndpoint) -> bool:
+    """Record that a response of the endpoint says it leaves; return whether it is new.
+
+    The departure is as final as one that the endpoint announces.
+    """
+    if observed.leaving:
+        return False
+    _set_leaving(observed)
+    return True
+
+
 def apply_departure_record(
     observed: ObservedEndpoint, *, instance: str, born_ms: int
 ) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -199,6 +199,8 @@
         each success.
     rate_limit : bytes
         Requests per second that an endpoint accepts from all daemons together.
+    leaving : bytes
+        ``1`` in each response of an endpoint that is leaving.
     """
 
     request_id: bytes
@@ -211,6 +213,7 @@
     cold_remaining: bytes
     signature: bytes
     rate_limit: bytes
+    leaving: bytes
 
 
 @_frozen
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -18,11 +18,13 @@
     build_request,
     classify_response,
     copy_response,
+    is_leaving,
 )
 from vanillapitch_relay.endpoint_pool import EndpointPool
 from vanillapitch_relay.endpoint_speed import EndpointSpeed
 from vanillapitch_relay.endpoint_state import (
     ObservedEndpoint,
+    apply_departure_notice,
     apply_zone_return,
     classify,
 )
@@ -117,6 +119,8 @@
         Requests an immediate health check.
     await_health_check : callable
         Waits until the next health check ends.
+    store_departure : callable
+        Starts to persist that the endpoint leaves.
     """
 
     def __init__(
@@ -126,6 +130,7 @@
         reports: ReportFeed,
         request_health_check: Callable[[], None],
         await_health_check: Callable[[], Awaitable[None]],
+        store_departure: Callable[[], None],
     ):
         self.parts = parts
         self.admission = AdmissionState(
@@ -137,6 +142,7 @@
         self._reports = reports
         self._request_health_check = request_health_check
         self._await_health_check = await_health_check
+        self._store_departure = store_departure
         self._failures = FailureShare()
         self._breaker = Breaker()
         self._ticket_ids = itertools.count(1)
@@ -467,7 +473,15 @@
         """
         if incarnation != self.parts.observed.incarnation:
             return
-        value = find_header(headers, self.parts.dialect.headers.rate_limit)
+        names = self.parts.dialect.headers
+        is_new_departure = is_leaving(headers, names=names) and apply_departure_notice(
+            self.parts.observed
+        )
+        if is_new_departure:
+            _log.info("departure_in_response", instance=self.parts.observed.instance)
+            self.refresh()
+            self._store_departure()
+        value = find_header(headers, names.rate_limit)
         rate = self.admission.named_rate
         if value is not None:
             self._name_rate_limit(value)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -60,6 +60,8 @@
         Headers that replace those of responses to health checks.
     rate_limit : str
         Requests per second that all responses name; empty for none.
+    says_leaving : bool
+        Whether all responses state that the endpoint is leaving.
     """
 
     response: str = "whole"
@@ -69,6 +71,7 @@
     refusals_have_ids: bool = True
     health_headers: dict[str, str] = dataclasses.field(default_factory=dict)
     rate_limit: str = ""
+    says_leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -266,7 +269,9 @@
         request_id = headers.get("x-vanillapitch-attempt-id", "")
         if expected != self.instance:
             name = f"{_PREFIX}Instance-Id"
-            writer.write(encode_response(421, b"", {name: self.instance}))
+            writer.write(
+                encode_response(421, b"", {name: self.instance, **self._notices()})
+            )
             return True
         fault = self._take_fault()
         if fault == "shed" or not request_id:
@@ -423,9 +428,12 @@
         )
 
     def _notices(self) -> dict[str, str]:
-        if not self.faults.rate_limit:
-            return {}
-        return {"Server-Limit": self.faults.rate_limit}
+        notices = {}
+        if self.faults.rate_limit:
+            notices["Server-Limit"] = self.faults.rate_limit
+        if self.faults.says_leaving:
+            notices["Server-Leaving"] = "1"
+        return notices
 
     def _load(self) -> str:
         return f"{self._running},0,{self.slots},{self.speed_percent}"
