Log that the store was restored from an older copy

What callers saw: a replaced configuration stayed in force; the logs showed only that the store was back.

The simulated store can be copied and restored.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -40,6 +40,7 @@
 from vanillapitch_relay.retry_budget import SharedRetryBudget
 from vanillapitch_relay.store_port import AsyncKeyValueStore
 from vanillapitch_relay.store_reachability import StoreReachability
+from vanillapitch_relay.store_timeline import StoreTimeline
 
 __all__ = ["Daemon", "run_daemon"]
 
@@ -156,6 +157,8 @@
             dialect=dialect, on_change=self._on_configuration
         )
         self._reachability = StoreReachability(metrics=self._metrics)
+        self._timeline = StoreTimeline()
+        store.on_timeline = self._timeline.observe
         self._hub = Hub(
             member=MemberInfo(
                 node=settings.node,
@@ -366,6 +369,7 @@
         )
         self._metrics.set_gauge("links", len(self._hub.links_by_node))
         self._metrics.set_gauge("log_lines_dropped", self._writer.dropped)
+        self._metrics.set_gauge("store_timeline", self._timeline.number)
         self._metrics.set_gauge("revision", self._configuration.changed_revision)
         body = self._metrics.render()
         return HttpResponse(
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_state.py
@@ -127,6 +127,13 @@
         source: str,
     ) -> None:
         if read_revision <= self.read_revision:
+            if read_revision < self.read_revision and source == _SOURCE_STORE:
+                _log.warning(
+                    "store_read_outdated",
+                    revision=read_revision,
+                    known_revision=self.read_revision,
+                    version=self.version,
+                )
             return
         self.read_revision = read_revision
         is_unchanged = configuration in (self._raw, b"")
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/store_port.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/store_port.py
@@ -1,6 +1,6 @@
 """Interface of the relay to the platform's store."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from vanillapitch_store.model import (
@@ -22,8 +22,16 @@
 
     Every call returns or raises within a bounded time, with the errors of
     `vanillapitch_store.exceptions`.
+
+    Attributes
+    ----------
+    on_timeline : callable
+        Called with the store's timeline, a number that rises each time the store is
+        restored from an older copy, for each response.
     """
 
+    on_timeline: Callable[[int], None]
+
     async def get(self, key: str) -> GetResult:
         """Read one key."""
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
@@ -18,6 +18,7 @@
 from vanillapitch_testbed.platform_standins._store import (
     Refusal,
     SimulatedStore,
+    StoreCopy,
     StoreFaults,
 )
 
@@ -30,6 +31,7 @@
     "SimulatedEndpoint",
     "SimulatedFleet",
     "SimulatedStore",
+    "StoreCopy",
     "StoreFaults",
     "make_configuration",
     "make_route",
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
@@ -16,7 +16,7 @@
     serve,
 )
 
-__all__ = ["Refusal", "SimulatedStore", "StoreFaults"]
+__all__ = ["Refusal", "SimulatedStore", "StoreCopy", "StoreFaults"]
 
 PAGE_ITEMS = 500
 MAX_ENTRIES = 32
@@ -79,6 +79,15 @@
     item: _Item | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """State of the store at a moment, from which it can be restored."""
+
+    revision: int
+    items_by_key: dict[str, _Item]
+    leases: dict[int, tuple[float, float]]
+
+
 class SimulatedStore:
     """Key-value store in this process.
 
@@ -100,6 +109,7 @@
         self.faults = StoreFaults()
         self.calls_by_path: dict[str, int] = {}
         self.revision = 1
+        self.timeline = 1
         self._items_by_key: dict[str, _Item] = {}
         self._events: list[_Event] = []
         self._compacted_revision = 0
@@ -173,6 +183,49 @@
         self._events.clear()
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the state."""
+        return StoreCopy(
+            revision=self.revision,
+            items_by_key=dict(self._items_by_key),
+            leases=dict(self._leases),
+        )
+
+    def restore(self, copy: StoreCopy, *, rewrite: bool = True) -> None:
+        """Return to a copy: later writes are lost and their revisions given out again.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+            The earlier state.
+        rewrite : bool
+            Whether the operators' keys of the lost state are written again at once.
+        """
+        lost = self._items_by_key
+        now_s = asyncio.get_running_loop().time()
+        self.timeline += 1
+        self.revision = copy.revision
+        self._items_by_key = dict(copy.items_by_key)
+        self._leases = {
+            lease_id: (now_s + ttl_s, ttl_s)
+            for lease_id, (_, ttl_s) in copy.leases.items()
+        }
+        self._events.clear()
+        self._compacted_revision = copy.revision
+        if rewrite:
+            self._rewrite_operator_keys(lost)
+        self.cut_connections()
+        self._notify_watches()
+
+    def _rewrite_operator_keys(self, lost: dict[str, _Item]) -> None:
+        for key in self.keys("op/"):
+            if key not in lost:
+                self.delete(key)
+        for key, item in lost.items():
+            known = self._items_by_key.get(key)
+            if key.startswith("op/") and (known is None or known.value != item.value):
+                self.put(key, item.value)
+
     def revoke_leases(self) -> None:
         """End every lease immediately and delete its keys."""
         for lease_id in list(self._leases):
@@ -231,7 +284,10 @@
             encode_response(
                 status,
                 msgspec.json.encode(body),
-                {"Content-Type": "application/json"},
+                {
+                    "Content-Type": "application/json",
+                    "Store-Era": str(self.timeline),
+                },
             )
         )
         return True
@@ -247,7 +303,7 @@
             writer.transport.abort()
             return False
         status = 503 if refusal is Refusal.BUSY else 429
-        writer.write(encode_response(status, b"{}"))
+        writer.write(encode_response(status, b"{}", {"Store-Era": str(self.timeline)}))
         return True
 
     async def _apply_late(self, request: RawRequest, delay_s: float) -> None:
@@ -308,7 +364,7 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + wait_s
         while True:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self.revision:
                 return 410, {}
             events = [
                 _encode_event(event)
