Order revisions over restores of the store

After the restore the revision of each change was below the known one, so each was dropped as old: store_read_outdated shows it. Class: a number that another system may give out twice, used as if it were unique.

Change: the client makes the store's era (timeline) the upper bits of each revision, so that all comparisons in processes and frames stay as they are and hold over restores. Watches and conditions of an ended timeline end without a call. A configuration with an older version than the one in force is not adopted, and zones that were out stay out for 5 s, since the copy may be shown before the operators write again. On a restore, which daemons also learn from peers, an introducer writes its member key and a daemon with a leaving endpoint its departure record again. Writes of departures that fail are retried while the endpoint leaves.

Dropping all leases at a restore: those of the copy remain valid, and the others are refused with 404.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -1,6 +1,7 @@
 """Receives announcements from the endpoint on this VM."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from vanillapitch_store.exceptions import StoreError
@@ -25,6 +26,8 @@
 # The endpoint times out after 1 s, so the acknowledgement waits no longer than this for
 # the store. If the store does not confirm, the departure is kept in memory only.
 STORE_TIMEOUT_MS = 500.0
+# Failed calls are billed too.
+STORE_RETRY_INTERVAL_MS = 1_000.0
 
 
 class AnnouncementReceiver:
@@ -119,8 +122,14 @@
         self._owner.refresh()
         await self.store_departure()
 
-    async def store_departure(self) -> None:
-        """Persist that the endpoint leaves, unless that has been done."""
+    async def keep_storing_departure(self) -> None:
+        """Persist that the endpoint leaves; retry while it does."""
+        while self._owner.parts.observed.leaving and not await self.store_departure():
+            delay_ms = STORE_RETRY_INTERVAL_MS * random.uniform(0.7, 1.0)
+            await asyncio.sleep(delay_ms / 1_000.0)
+
+    async def store_departure(self) -> bool:
+        """Persist that the endpoint leaves; return whether the store holds it."""
         observed = self._owner.parts.observed
         record = DepartureRecord(
             instance=observed.left_instance,
@@ -134,6 +143,7 @@
             _log.warning(
                 "departure_not_stored", instance=record.instance, reason=repr(error)
             )
-        else:
-            if is_written:
-                _log.info("departure_stored", instance=record.instance)
+            return False
+        if is_written:
+            _log.info("departure_stored", instance=record.instance)
+        return True
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -154,7 +154,7 @@
         self._stopping = False
         self._metrics = Metrics()
         self._configuration = ConfigurationState(
-            dialect=dialect, on_change=self._on_configuration
+            dialect=dialect, clock=clock, on_change=self._on_configuration
         )
         self._reachability = StoreReachability(metrics=self._metrics)
         self._timeline = StoreTimeline()
@@ -170,6 +170,7 @@
             clock=clock,
             configuration=self._configuration,
             reachability=self._reachability,
+            timeline=self._timeline,
         )
         self._quarantine = Quarantine(clock=clock, share=self._hub.publish_strike)
         self._owner = Owner(
@@ -210,6 +211,12 @@
             clock=clock,
             reachability=self._reachability,
         )
+        for on_restore in (
+            self._registration.on_store_restored,
+            self._follower.on_store_restored,
+            self._on_store_restored,
+        ):
+            self._timeline.add_listener(on_restore)
         self._reachability.on_change = self._on_reachability_change
         self._budget = SharedRetryBudget(bounds=settings.bounds)
         self._hub.on_members = self._on_members
@@ -369,7 +376,7 @@
         )
         self._metrics.set_gauge("links", len(self._hub.links_by_node))
         self._metrics.set_gauge("log_lines_dropped", self._writer.dropped)
-        self._metrics.set_gauge("store_timeline", self._timeline.number)
+        self._metrics.set_gauge("store_timeline", self._timeline.number or 0)
         self._metrics.set_gauge("revision", self._configuration.changed_revision)
         body = self._metrics.render()
         return HttpResponse(
@@ -398,8 +405,15 @@
     async def _await_health_check(self) -> None:
         await self._monitor.await_health_check()
 
+    def _on_store_restored(self) -> None:
+        self._departures.forget()
+        if self._owner.parts.observed.leaving:
+            self._start_storing_departure()
+
     def _start_storing_departure(self) -> None:
-        task = asyncio.get_running_loop().create_task(self._receiver.store_departure())
+        task = asyncio.get_running_loop().create_task(
+            self._receiver.keep_storing_departure()
+        )
         self._departure_tasks.add(task)
         task.add_done_callback(self._departure_tasks.discard)
 
@@ -447,6 +461,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_MS / 1_000.0)
             self._owner.refresh()
+            self._configuration.end_hold()
             self._hub.check_links()
             self._follower.set_follower(self._hub.is_follower())
             self._writer.flush()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
@@ -63,6 +63,7 @@
         self._is_follower = False
         self._follower_event = asyncio.Event()
         self._store_lost = asyncio.Event()
+        self._must_read = False
 
     def set_follower(self, is_follower: bool) -> None:
         """Set whether this daemon is a follower, that is, watches the store.
@@ -86,6 +87,11 @@
         if not self._reachability.is_reachable:
             self._store_lost.set()
 
+    def on_store_restored(self) -> None:
+        """Read all keys before the next watch; a pending one continues lost history."""
+        self._must_read = True
+        self._store_lost.set()
+
     async def run(self, start: PrefixResult) -> None:
         """Watch while this daemon is a follower, until cancelled.
 
@@ -116,6 +122,7 @@
 
     async def _read_all(self) -> int:
         result = await self._store.get_prefix(self._keys.operator_prefix)
+        self._must_read = False
         self._reachability.record_response("get_prefix")
         return self._replace_entries(result)
 
@@ -129,9 +136,11 @@
         return result.revision
 
     async def _watch_from(self, revision: int) -> None:
-        """Watch until the store is lost; raise errors of the store."""
+        """Watch until the store is lost or restored; raise errors of the store."""
         while True:
             await self._follower_event.wait()
+            if self._must_read:
+                return
             self._store_lost.clear()
             watch = asyncio.ensure_future(self._watch_once(revision))
             lost = asyncio.ensure_future(self._store_lost.wait())
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_state.py
@@ -3,23 +3,29 @@
 import zlib
 from collections.abc import Callable
 
+from vanillapitch_core.clock import Clock
 from vanillapitch_wire.relay import Snapshot
 
 from vanillapitch_relay.exceptions import ConfigurationInvalid
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import ClientLimits, Configuration, Dialect
 from vanillapitch_relay.routing import RouteTable
+from vanillapitch_relay.store_timeline import timeline_of
 
 __all__ = ["ConfigurationState"]
 
 _log = EventLog(part="configuration")
 
 _SOURCE_STORE = "store"
+_SOURCE_HOLD = "hold"
 # Shrinks a document of 1,400 routes to a tenth within milliseconds, which matters on
 # links of 11 Mbit/s.
 _COMPRESSION_LEVEL = 1
 # Limit after decompression. The store limits values to 1 MB.
 _MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
+# A restored store may lack zones that operators took out of service, until they do so
+# again. They stay out for this time.
+ZONES_HOLD_MS = 5_000.0
 # In force until the first configuration is received.
 _INITIAL_LIMITS = ClientLimits(
     max_header_bytes=16 * 1024,
@@ -36,17 +42,25 @@
     ----------
     dialect : Dialect
         Decoder of configurations.
+    clock : Clock
+        Source of time.
     on_change : callable
         Called after each change, with whether this daemon read it from the store.
     """
 
-    def __init__(self, *, dialect: Dialect, on_change: Callable[[bool], None]):
+    def __init__(
+        self, *, dialect: Dialect, clock: Clock, on_change: Callable[[bool], None]
+    ):
         self.routes: RouteTable | None = None
         self.zones_out: frozenset[str] = frozenset()
         self.read_revision = 0
         self.changed_revision = 0
         self._dialect = dialect
+        self._clock = clock
         self._on_change = on_change
+        self._stored_zones_out: frozenset[str] = frozenset()
+        self._held_zones_out: frozenset[str] = frozenset()
+        self._held_until_ms = 0.0
         self._raw = b""
         self._compressed = b""
 
@@ -135,14 +149,22 @@
                     version=self.version,
                 )
             return
+        known_timeline = timeline_of(self.read_revision)
+        is_restored = (
+            self.read_revision > 0 and timeline_of(read_revision) > known_timeline
+        )
+        if is_restored:
+            self._held_zones_out = self.zones_out
+            self._held_until_ms = self._clock.now_ms() + ZONES_HOLD_MS
         self.read_revision = read_revision
         is_unchanged = configuration in (self._raw, b"")
         is_adopted = not is_unchanged and self._adopt(configuration, source=source)
-        if not is_adopted and zones_out == self.zones_out:
+        self._stored_zones_out = zones_out
+        has_new_zones = self._update_zones(source=source)
+        # After a restore the revision is announced also if nothing else changed, so
+        # that each daemon restores what it had written.
+        if not (is_adopted or has_new_zones or is_restored):
             return
-        if zones_out != self.zones_out:
-            _log.info("zones_out", zones=sorted(zones_out), source=source)
-            self.zones_out = zones_out
         self.changed_revision = max(self.changed_revision, changed_revision)
         _log.info(
             "configuration_in_force",
@@ -152,22 +174,47 @@
         )
         self._on_change(source == _SOURCE_STORE)
 
+    def end_hold(self) -> None:
+        """Return the zones to service that were held out after a restore, when due."""
+        if self._held_zones_out and self._clock.now_ms() >= self._held_until_ms:
+            self._held_zones_out = frozenset()
+            if self._update_zones(source=_SOURCE_HOLD):
+                self._on_change(False)
+
+    def _update_zones(self, *, source: str) -> bool:
+        """Derive the zones out of service; return whether they changed."""
+        zones_out = self._stored_zones_out | self._held_zones_out
+        if zones_out == self.zones_out:
+            return False
+        _log.info("zones_out", zones=sorted(zones_out), source=source)
+        self.zones_out = zones_out
+        return True
+
     def snapshot(self) -> Snapshot:
         """Return the state as a snapshot for another daemon."""
         return Snapshot(
             read_revision=self.read_revision,
             changed_revision=self.changed_revision,
             configuration=self._compressed,
-            zones_out=sorted(self.zones_out),
+            zones_out=sorted(self._stored_zones_out),
         )
 
     def _adopt(self, raw: bytes, *, source: str) -> bool:
-        """Put a configuration in force; return whether it is valid."""
+        """Put a configuration in force; return whether it is valid and not older."""
         try:
             configuration = self._dialect.decode_configuration(raw)
         except ConfigurationInvalid as error:
             _log.warning("configuration_refused", reason=str(error), source=source)
             return False
+        in_force = self.configuration
+        if in_force is not None and configuration.sequence < in_force.sequence:
+            _log.warning(
+                "configuration_outdated",
+                version=configuration.version,
+                in_force=in_force.version,
+                source=source,
+            )
+            return False
         self._raw = raw
         self._compressed = zlib.compress(raw, _COMPRESSION_LEVEL)
         self.routes = RouteTable(configuration=configuration)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
@@ -161,6 +161,11 @@
             self._stored = _identity(record)
             return True
 
+    def forget(self) -> None:
+        """Forget what the store holds, as it may have lost it."""
+        self._revision = None
+        self._stored = None
+
     async def _put(self, record: DepartureRecord) -> None:
         put = Put(key=self._key, value=msgspec.json.encode(record))
         for _ in range(WRITE_ATTEMPTS):
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -30,6 +30,7 @@
 from vanillapitch_relay.quarantine import Quarantine
 from vanillapitch_relay.snapshot_exchange import SnapshotExchange
 from vanillapitch_relay.store_reachability import StoreReachability
+from vanillapitch_relay.store_timeline import StoreTimeline
 
 __all__ = ["Hub"]
 
@@ -82,6 +83,8 @@
         Configuration, exchanged with peers, of which only some follow the store.
     reachability : StoreReachability
         Tracks whether the store answers this daemon.
+    timeline : StoreTimeline
+        Learns from peers that the store was restored.
     """
 
     def __init__(
@@ -91,12 +94,14 @@
         clock: Clock,
         configuration: ConfigurationState,
         reachability: StoreReachability,
+        timeline: StoreTimeline,
     ):
         self.links_by_node: dict[str, OwnerLink] = {}
         self.owner: Owner | None = None
         self.quarantine: Quarantine | None = None
         self.on_members: Callable[[int], None] = lambda count: None
         self._reachability = reachability
+        self._timeline = timeline
         self._exchange = SnapshotExchange(clock=clock, configuration=configuration)
         self._member = member
         self._clock = clock
@@ -429,6 +434,7 @@
 
     def _on_revision(self, peer: OwnerLink | FramedConnection, revision: int) -> None:
         link = self.links_by_node.get(_node_of(peer))
+        self._timeline.observe_peer(revision)
         is_same_zone = link is not None and link.member.zone == self._member.zone
         self._exchange.receive_revision(
             revision, is_same_zone=is_same_zone, send=peer.send
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -104,9 +104,24 @@
 
 @_frozen
 class Configuration:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    version : str
+        Name of the version.
+    sequence : int
+        Position of the version; later ones have greater positions.
+    routes : tuple of Route
+        Routes.
+    services_by_name : mapping of str to ServiceLimits
+        Limits of each service.
+    limits : ClientLimits
+        Limits of callers.
+    """
 
     version: str
+    sequence: int
     routes: tuple[Route, ...]
     services_by_name: Mapping[str, ServiceLimits]
     limits: ClientLimits
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Iterable
 
@@ -120,6 +121,13 @@
         if settings.is_first_start:
             self._delay_ms = FIRST_START_DELAY_MS
         self._stopping = False
+        self._wake = asyncio.Event()
+
+    def on_store_restored(self) -> None:
+        """Write the own key again, as the store may have lost it, and read the list."""
+        self._is_listed = False
+        self._must_recheck_list = True
+        self._wake.set()
 
     async def run(self, start: PrefixResult) -> None:
         """Stay in contact with introducers or be one, until cancelled.
@@ -151,7 +159,10 @@
                     else SEARCH_RETRY_INTERVAL_MS
                 )
                 continue
-            await asyncio.sleep(RENEW_INTERVAL_MS / 1_000.0)
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RENEW_INTERVAL_MS / 1_000.0):
+                    await self._wake.wait()
 
     async def withdraw(self) -> None:
         """Remove the member key, so that no daemon connects to this one again."""
--- a/packages/vanillapitch-relay/tests/test_decisions.py
+++ b/packages/vanillapitch-relay/tests/test_decisions.py
@@ -45,7 +45,7 @@
         idle_timeout_ms=15_000.0,
     )
     configuration = Configuration(
-        version="1", routes=routes, services_by_name={}, limits=limits
+        version="1", sequence=1, routes=routes, services_by_name={}, limits=limits
     )
     return RouteTable(configuration=configuration)
 
--- a/packages/vanillapitch-relay/tests/test_store_economy.py
+++ b/packages/vanillapitch-relay/tests/test_store_economy.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 from vanillapitch_adapter.main import DIALECT
+from vanillapitch_core.clock import ManualClock
 from vanillapitch_relay import hub, registration
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.departure_store import REMOVAL_BATCH_SIZE
@@ -303,7 +304,9 @@
     # Guards against truncated, corrupt or oversized (8 MiB) snapshots of a peer that
     # change the state or block a later valid snapshot.
     changes = []
-    state = ConfigurationState(dialect=DIALECT, on_change=changes.append)
+    state = ConfigurationState(
+        dialect=DIALECT, clock=ManualClock(), on_change=changes.append
+    )
     complete = zlib.compress(make_configuration([ServiceSpec(name="s", zones=("a",))]))
     oversized = zlib.compress(bytes(8 * 1024 * 1024))
     for number, data in enumerate((b"x", complete[:-9], oversized)):
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
@@ -109,7 +109,7 @@
         self.faults = StoreFaults()
         self.calls_by_path: dict[str, int] = {}
         self.revision = 1
-        self.timeline = 1
+        self.timeline = 0
         self._items_by_key: dict[str, _Item] = {}
         self._events: list[_Event] = []
         self._compacted_revision = 0
