Skip entries of the store that are nested too deeply

Here a daemon that started beside such an entry never registered nor followed a change; a running one failed each reading of the list.

Cause: the decoder raises RecursionError for deep nesting, which is none of the errors that the callers of msgspec catch, so it ended the task that reads the store. Class: a library's error that is not one of its own.

Ruled out: large numbers and bytes that are no JSON were errors of msgspec already.

Evidence: three cases of test_odd_entries.py and four decoders of test_hostile_input.py fail without the change.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -16,6 +16,7 @@
 from vanillapitch_relay.configuration_follower import ConfigurationFollower
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.departure_store import DepartureRecord, DepartureStore
+from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.endpoint_monitor import EndpointMonitor
 from vanillapitch_relay.endpoint_pool import EndpointPool
 from vanillapitch_relay.endpoint_state import ObservedEndpoint, apply_departure_record
@@ -346,11 +347,11 @@
         loop = asyncio.get_running_loop()
         self._servers.append(await self._hub.listen())
         for address, state in listeners:
-            host, _, port = address.rpartition(":")
+            host, port = parse_address(address)
             server = await loop.create_server(
                 lambda state=state: CallerConnection(state=state),
                 host,
-                int(port),
+                port,
                 backlog=BACKLOG,
             )
             self._servers.append(server)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
@@ -8,6 +8,8 @@
 from vanillapitch_store.exceptions import StoreError, StoreRejected
 from vanillapitch_store.model import Delete, Entry, Put, mod_revision_is
 
+from vanillapitch_relay.documents import decode_json
+from vanillapitch_relay.exceptions import DocumentInvalid
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.store_port import AsyncKeyValueStore
 from vanillapitch_relay.store_reachability import StoreReachability
@@ -198,7 +200,7 @@
 
 def _decode(entry: Entry) -> DepartureRecord | None:
     try:
-        return msgspec.json.decode(entry.value, type=DepartureRecord)
-    except msgspec.MsgspecError as error:
+        return decode_json(entry.value, DepartureRecord)
+    except DocumentInvalid as error:
         _log.warning("departure_unreadable", key=entry.key, reason=str(error))
         return None
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/exceptions.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/exceptions.py
@@ -9,6 +9,7 @@
     "ConfigurationInvalid",
     "ConnectFailed",
     "ConnectionBroken",
+    "DocumentInvalid",
     "RelayError",
     "RequestInvalid",
     "SettingsInvalid",
@@ -21,6 +22,12 @@
     code = "relay_error"
 
 
+class DocumentInvalid(RelayError):  # noqa: N818
+    """A JSON document is malformed, of another type or too deeply nested."""
+
+    code = "document_invalid"
+
+
 class SettingsInvalid(RelayError):  # noqa: N818
     """The settings are invalid."""
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
@@ -11,6 +11,7 @@
 import h11
 
 from vanillapitch_relay.body_budget import BodyBudget
+from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.exceptions import (
     ConnectFailed,
     ConnectionBroken,
@@ -110,16 +111,16 @@
     ConnectFailed
         If the connection was not established in time.
     """
-    host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
+        host, port = parse_address(address)
         async with asyncio.timeout(timeout_ms / 1_000.0):
             _, connection = await loop.create_connection(
                 lambda: HttpConnection(echo_header=echo_header, budget=budget),
                 host,
-                int(port),
+                port,
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError) as error:
         raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
     return connection
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -23,6 +23,7 @@
 )
 
 from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.links import FramedConnection, OwnerLink
 from vanillapitch_relay.model import Ending
@@ -114,9 +115,9 @@
 
     async def listen(self) -> asyncio.Server:
         """Listen for connections of ingresses."""
-        host, _, port = self._member.address.rpartition(":")
+        host, port = parse_address(self._member.address)
         loop = asyncio.get_running_loop()
-        return await loop.create_server(self._accept, host, int(port), backlog=512)
+        return await loop.create_server(self._accept, host, port, backlog=512)
 
     def set_listed_members(self, members_by_node: dict[str, MemberInfo]) -> None:
         """Update the links to the members that the store lists.
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/links.py
@@ -27,6 +27,7 @@
     encode_frame,
 )
 
+from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import EndpointState
 
@@ -279,17 +280,17 @@
             delay_ms = min(REDIAL_DELAY_MAX_MS, 2.0 * delay_ms)
 
     async def _dial(self) -> bool:
-        host, _, port = self.member.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._connection_ended.clear()
         try:
+            host, port = parse_address(self.member.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000.0):
                 _, connection = await loop.create_connection(
                     lambda: FramedConnection(
                         on_message=self._on_message, on_lost=self._on_lost
                     ),
                     host,
-                    int(port),
+                    port,
                 )
         except (OSError, TimeoutError, ValueError):
             # Not logged: the link stays down, and each change of its state is logged.
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -21,6 +21,8 @@
 from vanillapitch_store.model import Entry, PrefixResult, Put, mod_revision_is
 from vanillapitch_wire.relay import MemberInfo
 
+from vanillapitch_relay.documents import decode_json, parse_address
+from vanillapitch_relay.exceptions import DocumentInvalid
 from vanillapitch_relay.hub import Hub
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import Settings, StoreKeys
@@ -297,8 +299,9 @@
                 continue
             node = entry.key.removeprefix(self._prefix)
             try:
-                value = msgspec.json.decode(entry.value, type=_MemberValue)
-            except msgspec.MsgspecError as error:
+                value = decode_json(entry.value, _MemberValue)
+                parse_address(value.address)
+            except (DocumentInvalid, ValueError) as error:
                 _log.warning("member_unreadable", node=node, reason=str(error))
                 continue
             members_by_node[node] = MemberInfo(
