Start no request late in a planned stop

What callers saw: in a report of another operator, requests that were passed on late in the grace period and cut at its end without an answer. Here requests that may not be repeated, sent behind others on a connection, were started one after the other until the process ended, and calls of an ingress that had missed the report of the stop ended as 502.

Cause: the end of reading covered new bytes only, and not requests that had been read and were queued behind another; the owner relied on its report alone to get no further calls.

Change: a stopping daemon closes a connection with the response before the first request that is not started, which counts as not read, so the caller sends the rest again, whatever its kind. The owner refuses calls, truly as not sent, once the listeners are closed. Requests that are in progress when the process must end are answered: 504, or 503 if none was sent.

--- a/packages/vanillapitch-cli/src/vanillapitch_cli/_explain.py
+++ b/packages/vanillapitch-cli/src/vanillapitch_cli/_explain.py
@@ -32,6 +32,8 @@
     "leaving": "the endpoint was leaving",
     "zone_out": "the endpoint's availability zone was out of service",
     "cold": "the endpoint was cold and its rate limit was reached",
+    "stopped": "its daemon had to end before an endpoint had answered",
+    "stopped_not_run": "its daemon had to end before an endpoint had accepted it",
     "rate_limited": "the endpoint was at the request rate that it names",
     "slow": "the endpoint was slow and no other endpoint was available",
 }
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -498,9 +498,13 @@
         for server in self._servers:
             server.close()
         self._callers.end_reading()
+        self._owner.closed = True
         while self._clock.now_ms() < deadline_ms and self._is_busy():
             await asyncio.sleep(STOP_CHECK_INTERVAL_MS / 1_000.0)
         _log.info("stopped", in_flight=self._ingress.in_flight)
+        if self._ingress.in_flight:
+            self._ingress.end_requests()
+            await asyncio.sleep(FINAL_WRITE_DELAY_MS / 1_000.0)
         self._hub.stop()
         for task in (*self._tasks, withdrawal):
             task.cancel()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -295,11 +295,7 @@
             if self._closed:
                 return
             exchange = self._exchanges.popleft()
-            # Later requests may be executing at an endpoint, so only the last response
-            # closes the connection.
-            is_last = not self._exchanges
-            stops = is_last and (self._state.stopping or self._reading_ended)
-            close = exchange.close_after or stops
+            close = exchange.close_after or self._ends_with_response()
             self._write_response(exchange, close=close)
             self._phase_started_ms = self._state.clock.now_ms()
             if close:
@@ -311,6 +307,19 @@
             self._transport.resume_reading()
             self._read_requests()
 
+    def _ends_with_response(self) -> bool:
+        """Return whether the connection closes after the response being sent.
+
+        Later requests may be executing, so their responses are sent first. Requests
+        that have not been started at a stop are left to the caller to send again.
+        """
+        if self._state.stopping:
+            return not any(
+                exchange.task is not None or exchange.response is not None
+                for exchange in self._exchanges
+            )
+        return self._reading_ended and not self._exchanges
+
     def _write_response(self, exchange: _Exchange, *, close: bool) -> None:
         response = exchange.response
         headers = strip_hop_headers(response.headers)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/ingress.py
@@ -103,8 +103,18 @@
         self._weights = WeightedChoice()
         self._deadlines = RouteDeadlines()
         self._rng = random.Random()
+        self._timeouts: set[asyncio.Timeout] = set()
+        self._ended = False
         self.in_flight = 0
 
+    def end_requests(self) -> None:
+        """Answer all requests in progress now, because the process is about to end."""
+        self._ended = True
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now_s)
+
     async def handle(
         self, request: HttpRequest, arrived_ms: float, peer_host: str
     ) -> HttpResponse:
@@ -214,12 +224,18 @@
             return self._refuse(progress, "quarantined"), "quarantined"
         remaining_ms = progress.deadline_ms - self._clock.now_ms()
         try:
-            async with asyncio.timeout(max(0.0, remaining_ms) / 1_000.0):
-                return await self._try_owners(progress)
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1_000.0) as timeout:
+                self._timeouts.add(timeout)
+                try:
+                    return await self._try_owners(progress)
+                finally:
+                    self._timeouts.discard(timeout)
         except TimeoutError:
+            reason = "stopped" if self._ended else "deadline"
             if progress.may_have_executed or progress.in_progress:
-                return self._fail(504, "deadline"), "deadline"
-            return self._refuse(progress, "deadline_not_run"), "deadline_not_run"
+                return self._fail(504, reason), reason
+            reason += "_not_run"
+            return self._refuse(progress, reason), reason
 
     async def _try_owners(self, progress: Progress) -> tuple[HttpResponse, str]:
         reason = "no_endpoint"
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -109,6 +109,13 @@
 class Owner:
     """Admits calls to the endpoint and executes them.
 
+    Attributes
+    ----------
+    stopping : bool
+        Whether reports say that the endpoint is leaving, as the daemon stops.
+    closed : bool
+        Whether new calls are refused, from ingresses that missed that report.
+
     Parameters
     ----------
     parts : OwnerParts
@@ -138,6 +145,7 @@
         )
         self.speed = EndpointSpeed()
         self.stopping = False
+        self.closed = False
         self.broken_fingerprints: dict[str, float] = {}
         self._reports = reports
         self._request_health_check = request_health_check
@@ -293,6 +301,8 @@
         )
 
     def _find_refusal_reason(self, call: Call) -> RefusalReason | None:
+        if self.closed:
+            return RefusalReason.LEAVING
         if call.service_name != self.parts.observed.service:
             return RefusalReason.OTHER_SERVICE
         if call.remaining_ms < MIN_REMAINING_MS:
