Draw limited endpoints and restores of the store in the soak

Change: an endpoint names a rate for some seconds, and a check counts its requests in each 4 s; the store is taken away and restored from a copy of up to 6 s before; a leaving endpoint says so in its responses. The cases of earlier seeds draw from the faults that they had.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_checks.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_checks.py
@@ -22,6 +22,12 @@
 # A connection that closes within this time is not a loss unless an endpoint executed
 # the request.
 LOSS_SLACK_S = 0.2
+# From this time after an endpoint first named a rate, it may get that rate for this
+# window, times the factor, plus the slack.
+LIMIT_AFTER_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -94,6 +100,10 @@
             start_times_s = [
                 execution.started_s for execution in vm.endpoint.executions
             ]
+            if period.condition == "limited":
+                if period.subject == vm.settings.node:
+                    yield from _check_rate_limit(period, start_times_s)
+                continue
             if period.condition == "leaving" and period.subject == vm.settings.node:
                 bound_s = DRAIN_S
             elif period.condition == "zone_out" and period.subject == vm.settings.zone:
@@ -112,6 +122,21 @@
                 )
 
 
+def _check_rate_limit(period: Period, start_times_s: list[float]) -> Iterable[str]:
+    allowed = period.limit_per_s * LIMIT_WINDOW_S * LIMIT_OVERSHOOT + LIMIT_SLACK
+    times_s = sorted(
+        t for t in start_times_s if period.since_s + LIMIT_AFTER_S <= t < period.until_s
+    )
+    for position, start_s in enumerate(times_s):
+        count = bisect.bisect_left(times_s, start_s + LIMIT_WINDOW_S) - position
+        if count > allowed:
+            yield (
+                f"limited: {period.subject} got {count} requests in "
+                f"{LIMIT_WINDOW_S} s at {period.limit_per_s} a second"
+            )
+            return
+
+
 def _check_endpoints(fleet: SoakFleet) -> Iterable[str]:
     allowed = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
     for vm in fleet.vms:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
@@ -12,7 +12,7 @@
 from vanillapitch_testbed.platform_standins._fleet import Vm
 from vanillapitch_testbed.proxy import Faults
 
-__all__ = ["FAULTS", "PLANNED", "Context", "Fault", "Period"]
+__all__ = ["ALL_FAULTS", "FAULTS", "PLANNED", "Context", "Fault", "Period"]
 
 RESPONSE_FAULTS = (
     "truncated",
@@ -28,6 +28,7 @@
 )
 RESTART_DELAY_S = (0.1, 1.0)
 DRAIN_S = 2.0
+RATE_LIMITS_PER_S = (0.5, 3.0, 9.5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,17 +38,20 @@
     Attributes
     ----------
     condition : str
-        ``leaving``, ``zone_out`` or ``store_harmed``.
+        ``leaving``, ``limited``, ``zone_out`` or ``store_harmed``.
     subject : str
         Node or availability zone; empty for the store.
     since_s, until_s : float
         Monotonic times.
+    limit_per_s : float
+        Requests per second that a limited endpoint names.
     """
 
     condition: str
     subject: str
     since_s: float
     until_s: float
+    limit_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -146,6 +150,7 @@
 async def _drain_endpoint(context: Context, vm: Vm) -> None:
     """Drain or deregister an endpoint, then stop it and start another incarnation."""
     endpoint = vm.endpoint
+    endpoint.faults = EndpointFaults(says_leaving=True)
     leave = context.rng.choice((endpoint.drain, endpoint.deregister))
     try:
         acknowledged = await leave() == 200
@@ -163,6 +168,7 @@
         context.periods.append(period)
     await endpoint.stop()
     await context.pause(0.1, 1.0)
+    endpoint.faults = EndpointFaults()
     await endpoint.restart()
 
 
@@ -182,6 +188,23 @@
     vm.endpoint.work_s, vm.endpoint.speed_percent = 0.01, 100
 
 
+async def _limit_endpoint(context: Context, vm: Vm) -> None:
+    """Make an endpoint name a request rate in its responses."""
+    limit_per_s = context.rng.choice(RATE_LIMITS_PER_S)
+    vm.endpoint.faults = EndpointFaults(rate_limit=str(limit_per_s))
+    since_s = time.monotonic()
+    await context.pause(5.0, 9.0)
+    period = Period(
+        condition="limited",
+        subject=vm.settings.node,
+        since_s=since_s,
+        until_s=time.monotonic(),
+        limit_per_s=limit_per_s,
+    )
+    context.periods.append(period)
+    vm.endpoint.faults = EndpointFaults()
+
+
 async def _degrade_link(context: Context, vm: Vm) -> None:
     """Delay, cut, black-hole, half-close or refuse connections of one proxy."""
     rng = context.rng
@@ -266,6 +289,28 @@
     return True
 
 
+async def _restore_store(context: Context) -> bool:
+    """Take the store away for a moment and restore it from a copy seconds old."""
+    if "store" in context.faulted_components:
+        return False
+    context.faulted_components.add("store")
+    store = context.fleet.store
+    copy = store.copy()
+    await context.pause(0.5, 6.0)
+    since_s = time.monotonic()
+    store.faults = StoreFaults(refusal=Refusal.RESET)
+    store.cut_connections()
+    await context.pause(0.0, 2.0)
+    store.faults = StoreFaults()
+    store.restore(copy)
+    period = Period(
+        condition="store_harmed", subject="", since_s=since_s, until_s=time.monotonic()
+    )
+    context.periods.append(period)
+    context.faulted_components.discard("store")
+    return True
+
+
 async def _kill_all_daemons(context: Context) -> bool:
     """Kill all daemons at the same time, shortly after a configuration change."""
     fleet = context.fleet
@@ -319,3 +364,9 @@
     *(Fault(name="store", apply=_degrade_store),) * 2,
     Fault(name="power", apply=_kill_all_daemons),
 )
+# The regression cases of earlier seeds draw from `FAULTS`, so it stays as it is.
+ALL_FAULTS = (
+    *FAULTS,
+    *(Fault(name="limit", apply=_on_vm("endpoint", _limit_endpoint)),) * 2,
+    *(Fault(name="restore", apply=_restore_store),) * 2,
+)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_run.py
@@ -56,7 +56,13 @@
     logs_by_node: dict[str, str]
 
 
-async def run_soak(*, seed: int, seconds: float, vms: int = 6) -> SoakReport:
+async def run_soak(
+    *,
+    seed: int,
+    seconds: float,
+    vms: int = 6,
+    choices: tuple[faults.Fault, ...] = faults.ALL_FAULTS,
+) -> SoakReport:
     """Run a fleet of processes under load and random faults.
 
     Parameters
@@ -67,6 +73,8 @@
         Time during which faults are started.
     vms : int
         Number of VMs, in three availability zones and two services.
+    choices : tuple of Fault
+        Faults from which a soak with unplanned ones draws.
 
     Returns
     -------
@@ -88,7 +96,9 @@
         callers = _make_callers(fleet, seed=seed)
         sending = [asyncio.create_task(caller.run()) for caller in callers]
         fault_counts = await _cause_faults(
-            context, seconds=seconds, planned_only=planned_only
+            context,
+            seconds=seconds,
+            choices=faults.PLANNED if planned_only else choices,
         )
         fleet.violations += await _check_recovered(fleet)
         for task in sending:
@@ -115,11 +125,10 @@
 
 
 async def _cause_faults(
-    context: faults.Context, *, seconds: float, planned_only: bool
+    context: faults.Context, *, seconds: float, choices: tuple[faults.Fault, ...]
 ) -> collections.Counter[str]:
     """Apply faults for some time, and wait until all are removed."""
     fault_counts: collections.Counter[str] = collections.Counter()
-    choices = faults.PLANNED if planned_only else faults.FAULTS
     until_s = time.monotonic() + seconds
     semaphore = asyncio.Semaphore(MAX_ACTIVE_FAULTS)
     async with asyncio.TaskGroup() as group:
--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -6,7 +6,7 @@
 import asyncio
 
 import pytest
-from vanillapitch_testbed.platform_soak import run_soak
+from vanillapitch_testbed.platform_soak import ALL_FAULTS, FAULTS, run_soak
 
 pytestmark = pytest.mark.integration
 
@@ -14,13 +14,15 @@
 # Seed 102 selects planned operations only, so that every lost request is a violation.
 # Seed 140 kills all daemons at once while the store does not respond, so that no daemon
 # can load a configuration.
-SEEDS = (102, 140)
+# Seed 24 draws an endpoint that names a rate, and seed 25 restores of the store.
+CASES = ((102, FAULTS), (140, FAULTS), (24, ALL_FAULTS), (25, ALL_FAULTS))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_no_guarantee_is_violated_under_random_faults(seed):
+@pytest.mark.parametrize(("seed", "choices"), CASES)
+def test_no_guarantee_is_violated_under_random_faults(seed, choices):
     # Guards against faults that are handled one at a time but not in combination.
-    report = asyncio.run(asyncio.wait_for(run_soak(seed=seed, seconds=DURATION_S), 60))
+    soak = run_soak(seed=seed, seconds=DURATION_S, choices=choices)
+    report = asyncio.run(asyncio.wait_for(soak, 60))
     assert report.violations == []
     assert report.statuses[200] > 100
     assert sum(report.faults.values()) >= 3
