Check no health of a limited endpoint for calls that it cannot get

Cause: the owner measures the speed of the endpoint before an execution, also when the rate allows none now.

Evidence: under 100 calls a second for 3 s an endpoint got 63 checks before; the test allows the 6 regular ones and two more.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/owner.py
@@ -315,6 +315,9 @@
         """Refuse a call to which another endpoint would probably respond sooner."""
         if not call.has_alternative or self.admission.blocked is not None:
             return None
+        if self.admission.named_rate.find_wait_ms(ahead=0, now_ms=self._now_ms()) > 0.0:
+            # The call is not sent now, and a check is load for the endpoint as well.
+            return None
         if not self.speed.is_fresh(now_ms=self._now_ms()):
             # If no measurement arrives in time, the call proceeds without one.
             with contextlib.suppress(TimeoutError):
--- a/packages/vanillapitch-relay/tests/test_rate_limit.py
+++ b/packages/vanillapitch-relay/tests/test_rate_limit.py
@@ -55,6 +55,23 @@
         assert len(times_s) >= limit * 5.0 * 0.8 - 1.0
 
 
+def test_refused_calls_cause_no_health_checks(run_fleet):
+    # Guards against health checks for each call that a limited endpoint cannot get,
+    # which load it further; without calls it gets one every 500 ms.
+    async def scenario(fleet):
+        fleet.name_rate_limits(0.1)
+        await asyncio.sleep(0.6)
+        before = [vm.endpoint.health_checks for vm in fleet.vms]
+        await fleet.offer_load(per_s=100, seconds=3, targets=["/shop/a"])
+        return [
+            vm.endpoint.health_checks - count
+            for vm, count in zip(fleet.vms, before, strict=True)
+        ]
+
+    for health_checks in run_fleet(scenario, services=SHOP):
+        assert health_checks <= 3 / 0.5 + 2
+
+
 def test_a_restarted_owner_keeps_the_limit(run_fleet):
     # Guards against a restarted daemon that sends at full rate until it learns the
     # limit, which the other ingresses are still bound by.
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -156,6 +156,7 @@
         self.faults = EndpointFaults()
         self.executions: list[Execution] = []
         self.connections = 0
+        self.health_checks = 0
         self.cold_until_s = 0.0
         self.cold_periods: list[tuple[float, float]] = []
         self.state = "ready"
@@ -267,6 +268,7 @@
 
     async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         if request.target == "/health":
+            self.health_checks += 1
             writer.write(self._health())
             return True
         headers = request.headers
