--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_checks.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_checks.py
@@ -87,9 +87,12 @@
 def _check_loss(exchange: Exchange, executions: list[Execution]) -> Iterable[str]:
     if not exchange.ended_s:
         return
-    late = exchange.ended_s - exchange.sent_s > LOSS_SLACK_S
-    if exchange.status == 0 and (executions or late):
-        yield f"LOST: {exchange.request_id} got no response from {exchange.node}"
+    took_s = exchange.ended_s - exchange.sent_s
+    if exchange.status == 0 and (executions or took_s > LOSS_SLACK_S):
+        yield (
+            f"LOST: {exchange.request_id} got no response from {exchange.node} in "
+            f"{took_s:.3f} s, {len(executions)} executions"
+        )
     if exchange.status == 502:
         yield f"LOST: {exchange.request_id} got 502 from {exchange.node}"
 
