Keep a reload signal that arrives during the start pending

What operators saw: a daemon whose settings changed while it started ended with SIGHUP.

Cause: until the handler was installed, after the imports, the default action applied.

Change: the launcher blocks the signal first, and the daemon unblocks it once its handler is installed, so a pending one reads the settings again.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -253,6 +253,8 @@
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        # The launcher blocks the reload signal; a pending one is handled now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _HANDLED_SIGNALS)
         await self.serve()
         # Closing the loop restores the default actions. A signal that arrives later
         # would end the process before its exit code is set, so it stays pending.
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -19,7 +19,13 @@
 
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
-_RUN_DAEMON = "import sys; from vanillapitch_adapter.main import main; sys.exit(main())"
+# Blocks the reload signal until it is handled, as the launcher of the deployment does.
+_RUN_DAEMON = """
+import signal, sys
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+from vanillapitch_adapter.main import main
+sys.exit(main())
+"""
 
 
 class ProcessFleet(SimulatedFleet):
