Keep a wake-up of the registration that comes while it works

What could happen: a restore of the store that an introducer learned of while it read the list was forgotten until the next renewal, up to 2 s later.

Cause: the event was cleared before the wait instead of after it. Found by reading the change.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -161,10 +161,10 @@
                     else SEARCH_RETRY_INTERVAL_MS
                 )
                 continue
-            self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(RENEW_INTERVAL_MS / 1_000.0):
                     await self._wake.wait()
+            self._wake.clear()
 
     async def withdraw(self) -> None:
         """Remove the member key, so that no daemon connects to this one again."""
