End a daemon that cannot listen instead of leaving it idle

What callers saw: nothing answered at a daemon whose address was in use at its start, and its supervisor did not start it again: the process printed "cannot listen", stayed, and ignored SIGTERM.

Cause: the committer and the holder of claims ran on threads that keep the interpreter alive. They start before the last listener is bound, so an error after that returned from the main function and then waited for them for ever. All other threads end with the process.

Change: both actors run on daemon threads. A regular stop still waits for them. The error names the address for every listener; it did not for gossip and administration.

Ruled out: the reader of response heads added in (the process that hung had printed the error and its stacks are those of an idle claims actor, not of a call), and a lost SIGTERM (the main thread was in the exit of the interpreter).

Evidence: in about 80 starts of four daemons, three processes stayed like this, each with "cannot listen" in its output. test_an_address_in_use_ends_the_process: 4 of 4 failed before, three by their time limit; all pass now.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/admin/_server.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/admin/_server.py
@@ -43,21 +43,25 @@
         self._sockets_by_fd: dict = {}
         self._stopping = threading.Event()
         self._drain_timeout_ms = 0
-        self._server = waitress.create_server(
-            application,
-            map=self._sockets_by_fd,
-            listen=str(address),
-            threads=_THREADS,
-            ident=None,
-            connection_limit=_CONNECTIONS_MAX,
-            channel_timeout=_IDLE_TIMEOUT_S,
-            max_request_header_size=_HEADER_BYTES_MAX,
-            max_request_body_size=_BODY_BYTES_MAX,
-            # The VMs have no disks, and bodies above these sizes are buffered in files.
-            inbuf_overflow=2 * _BODY_BYTES_MAX,
-            outbuf_overflow=1_073_741_824,
-            clear_untrusted_proxy_headers=True,
-        )
+        try:
+            self._server = waitress.create_server(
+                application,
+                map=self._sockets_by_fd,
+                listen=str(address),
+                threads=_THREADS,
+                ident=None,
+                connection_limit=_CONNECTIONS_MAX,
+                channel_timeout=_IDLE_TIMEOUT_S,
+                max_request_header_size=_HEADER_BYTES_MAX,
+                max_request_body_size=_BODY_BYTES_MAX,
+                # The VMs have no disks, and larger bodies are buffered in files.
+                inbuf_overflow=2 * _BODY_BYTES_MAX,
+                outbuf_overflow=1_073_741_824,
+                clear_untrusted_proxy_headers=True,
+            )
+        except OSError as error:
+            text = f"{error.strerror} (TCP address {address})"
+            raise OSError(error.errno, text) from error
         self._thread = threading.Thread(target=self._run, name="admin", daemon=True)
 
     def start(self) -> None:
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_committer.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_committer.py
@@ -99,6 +99,8 @@
         Source of time.
     """
 
+    use_daemon_thread = True
+
     def __init__(self, *, writer: StoreWriter, clock: Clock):
         super().__init__()
         self._clock = clock
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_holder.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_holder.py
@@ -80,6 +80,8 @@
         Source of time.
     """
 
+    use_daemon_thread = True
+
     def __init__(self, *, clock: Clock):
         super().__init__()
         self._clock = clock
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_socket.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/membership/_socket.py
@@ -61,9 +61,10 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
             self._sock.bind(address)
-        except OSError:
+        except OSError as error:
             self._sock.close()
-            raise
+            text = f"{error.strerror} (UDP address {address[0]}:{address[1]})"
+            raise OSError(error.errno, text) from error
         self._thread: threading.Thread | None = None
 
     @property
