Give listeners of tests loopback addresses of their own

Cause: a port of 127.0.0.1 that is free when a test chooses it may be taken by an outgoing connection of another process before the daemon binds it, a second later.

Change: those tests use a random loopback IP address for each listener. Outgoing connections start at 127.0.0.1, so they never take its ports. The simulated fleets did this already. The same choice in the tests of the administration server, the command line and the stand-ins is replaced too. Left: make_settings of the daemon's tests, which binds in the same process within milliseconds.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -21,6 +21,7 @@
 )
 from vanillapitch_daemon.metrics import Metrics
 from vanillapitch_daemon.settings import Address
+from vanillapitch_testbed.loopback import make_loopback_address
 
 ADMIN_TOKEN = "operator-token-of-tests"
 
@@ -162,8 +163,7 @@
 
     def __init__(self):
         self.token = ADMIN_TOKEN
-        self.free_port = free_port
-        self.address = f"127.0.0.1:{free_port()}"
+        self.address = make_loopback_address()
         self.node = FakeNode()
         self.configuration = FakeConfiguration()
         self.metrics = Metrics()
@@ -189,12 +189,6 @@
         return response.status, json.loads(text) if is_json else text
 
 
-def free_port():
-    """Return a loopback port that is currently free."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
-
-
 def read_request(connection):
     """Read one request with its body; a partial one if the connection ends first."""
     request = b""
--- a/packages/vanillapitch-cli/tests/test_cli.py
+++ b/packages/vanillapitch-cli/tests/test_cli.py
@@ -11,6 +11,7 @@
 from typer.testing import CliRunner
 from vanillapitch_cli.main import app
 from vanillapitch_core.tables import Pool
+from vanillapitch_testbed.loopback import make_loopback_address
 
 COMMAND = pathlib.Path(sys.executable).with_name("vanillapitch")
 
@@ -237,7 +238,7 @@
 def test_another_address_is_tried(run, running_admin):
     # Guards against a command that fails because the first of its addresses refuses
     # connections, and against exit code 0 when all addresses do.
-    unreachable = f"127.0.0.1:{running_admin.free_port()}"
+    unreachable = make_loopback_address()
     both = ("--admin", unreachable, "--admin", running_admin.address)
     assert run("zone", "out", "gb-a", *both).exit_code == 0
     result = run("status", "--json", *both)
--- a/packages/vanillapitch-daemon/tests/test_admin.py
+++ b/packages/vanillapitch-daemon/tests/test_admin.py
@@ -9,6 +9,7 @@
 from vanillapitch_core.tables import Pool
 from vanillapitch_daemon.admin import AdminServer
 from vanillapitch_daemon.settings import Address
+from vanillapitch_testbed.loopback import make_loopback_address
 
 POOLS = [{"name": "catalog", "service": "catalog", "zones": ["gb-a"]}]
 
@@ -214,16 +215,16 @@
         AdminServer(application=lambda *_: [], address=Address(running_admin.address))
 
 
-def test_a_server_that_never_started_releases_its_address(running_admin):
+def test_a_server_that_never_started_releases_its_address():
     # Guards against a failed start that hangs or keeps the port, when the server is
     # stopped before its thread runs: a second server must be able to bind the port.
-    address = Address(f"127.0.0.1:{running_admin.free_port()}")
+    address = Address(make_loopback_address())
     for _ in range(2):
         AdminServer(application=lambda *_: [], address=address).stop()
 
 
 @pytest.mark.parametrize("pull_delay_s", [0.4, 3.0])
-def test_a_worker_never_wakes_a_closed_trigger(running_admin, pull_delay_s):
+def test_a_worker_never_wakes_a_closed_trigger(pull_delay_s):
     # Guards against a stop that closes the trigger of the server between the end of a
     # request and the wake-up that its worker sends: the descriptor may be in use by
     # another file by then. The longer delay exceeds the time limit of the stop.
@@ -231,8 +232,8 @@
         start_response("200 OK", [("Content-Length", "0")])
         return [b""]
 
-    port = running_admin.free_port()
-    server = AdminServer(application=application, address=Address(f"127.0.0.1:{port}"))
+    address = Address(make_loopback_address())
+    server = AdminServer(application=application, address=address)
     trigger = server._server.trigger
     closed_at_pull = []
     pulled = threading.Event()
@@ -246,7 +247,7 @@
 
     server._server.pull_trigger = pull_late
     server.start()
-    connection = http.client.HTTPConnection("127.0.0.1", port)
+    connection = http.client.HTTPConnection(address.host, address.port)
     connection.request("GET", "/")
     assert connection.getresponse().status == 200
     connection.close()
--- a/tests/integration/test_keyed_processes.py
+++ b/tests/integration/test_keyed_processes.py
@@ -2,10 +2,8 @@
 
 import collections
 import concurrent.futures
-import contextlib
 import http.server
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -17,6 +15,7 @@
 import urllib3
 from vanillapitch_core.tables import Pool, Route, Tables, encode_tables
 from vanillapitch_store import EtcdGatewayStore, Put
+from vanillapitch_testbed.loopback import make_loopback_address
 from vanillapitch_testbed.store import StoreProcess
 
 pytestmark = pytest.mark.integration
@@ -27,19 +26,6 @@
 STOP_TIMEOUT_S = 30
 
 
-def free_address():
-    """Return an address that is free for TCP and for UDP."""
-    while True:
-        with (
-            socket.create_server(("127.0.0.1", 0)) as stream,
-            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
-        ):
-            host, port = stream.getsockname()
-            with contextlib.suppress(OSError):
-                datagrams.bind((host, port))
-                return f"{host}:{port}"
-
-
 class Backend(http.server.ThreadingHTTPServer):
     """HTTP backend server that counts the executions of each key."""
 
@@ -86,15 +72,15 @@
 
     def __init__(self, directory, store_address, seed):
         self.backend = Backend()
-        self.callers = free_address()
-        self.gossip = free_address()
+        self.callers = make_loopback_address()
+        self.gossip = make_loopback_address()
         settings = {
             "instance": {"zone": "zone-a", "region": "north"},
             "listen": {
                 "callers": self.callers,
-                "peers": free_address(),
+                "peers": make_loopback_address(),
                 "gossip": self.gossip,
-                "admin": free_address(),
+                "admin": make_loopback_address(),
             },
             "backend": {
                 "address": f"127.0.0.1:{self.backend.server_port}",
--- a/tests/integration/test_stand_ins.py
+++ b/tests/integration/test_stand_ins.py
@@ -14,6 +14,7 @@
     ManagedProcess,
     control_request,
 )
+from vanillapitch_testbed.loopback import make_loopback_address
 
 BACKEND = "vanillapitch_testbed.backend"
 PROXY = "vanillapitch_testbed.proxy"
@@ -21,12 +22,6 @@
 pytestmark = pytest.mark.integration
 
 
-def free_address():
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @pytest.fixture
 def start(tmp_path):
     """Return a function that starts a module as a process until the test ends."""
@@ -58,7 +53,7 @@
     """Return a function that starts a warm backend server with two slots."""
 
     def start_backend(**options):
-        listen, control = free_address(), free_address()
+        listen, control = make_loopback_address(), make_loopback_address()
         defaults = {
             "slots": 2,
             "service_shape": "fixed",
@@ -155,7 +150,7 @@
     # Guards against a proxy that drops the request instead of the response: the backend
     # server must have executed it.
     target, backend_control, _ = backend()
-    listen, control = free_address(), free_address()
+    listen, control = make_loopback_address(), make_loopback_address()
     start(PROXY, control=control, link=f"link,tcp,{listen},{target}")
     assert get_all(listen, ["/a"]) == [200]
     control_request(control, "PUT", "/links/link", {"lose_answer_share": 1.0})
@@ -170,7 +165,7 @@
     # Guards against a fault that is configured without effect. A delay of 150 ms in
     # each direction must add 0.3 s, and a black hole must cause a timeout.
     target, _, _ = backend(service_ms=0)
-    listen, control = free_address(), free_address()
+    listen, control = make_loopback_address(), make_loopback_address()
     start(PROXY, control=control, link=f"link,tcp,{listen},{target}")
     control_request(control, "PUT", "/links/link", {"delay_ms": 150})
     started_s = time.monotonic()
