Reserve the loopback subnet of a simulated fleet

Cause: the subnet came from the process id modulo 128, so processes whose ids differ by a multiple of 128 used the same addresses.

Change: the simulated fleet reserves its subnet as the fleet of the threaded daemon does; the function moves to a module that both use.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/fleet/_fleet.py
@@ -4,7 +4,6 @@
 import json
 import os
 import pathlib
-import random
 import shutil
 import socket
 import subprocess
@@ -22,12 +21,12 @@
 from vanillapitch_testbed.fleet._process import ManagedProcess, wait_until
 from vanillapitch_testbed.fleet._vm import Vm
 from vanillapitch_testbed.fleet.exceptions import FleetError
+from vanillapitch_testbed.loopback import reserve_loopback_subnet
 
 __all__ = ["ADMIN_TOKEN", "Fleet"]
 
 ADMIN_TOKEN = "operator-token-of-the-testbed"
 CLUSTER_KEY = "cluster-key-of-the-testbed-0123456789"
-_RESERVATION_PORT = 7_999
 _STORE_PORT = 2_379
 _STORE_CONTROL_PORT = 2_380
 _STORE_PROXY_PORT = 12_379
@@ -37,7 +36,6 @@
 _ADOPTION_TIMEOUT_S = 10.0
 _STOP_TIMEOUT_S = 10.0
 _CLI_TIMEOUT_S = 30.0
-_SUBNET_ATTEMPTS = 50
 
 
 class Fleet:
@@ -87,7 +85,7 @@
         self._temporary = directory is None
         self.directory = directory or pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
         self.directory.mkdir(parents=True, exist_ok=True)
-        self._reservation, self._subnet = _reserve_subnet()
+        self._reservation, self._subnet = reserve_loopback_subnet()
         self.vms = self._make_vms()
         self.store = self._make_process("store", self._store_command())
         self.proxy: ManagedProcess | None = None
@@ -493,19 +491,3 @@
 
 def _program(name: str) -> str:
     return str(pathlib.Path(sys.executable).parent / name)
-
-
-def _reserve_subnet() -> tuple[socket.socket, str]:
-    """Reserve a loopback subnet by listening on a port that all fleets use for it."""
-    rng = random.SystemRandom()
-    for _ in range(_SUBNET_ATTEMPTS):
-        subnet = f"127.{rng.randrange(64, 128)}.{rng.randrange(256)}"
-        reservation = socket.socket()
-        try:
-            reservation.bind((f"{subnet}.1", _RESERVATION_PORT))
-            reservation.listen(1)
-        except OSError:
-            reservation.close()
-        else:
-            return reservation, subnet
-    raise FleetError("no free loopback subnet")
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/loopback.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/loopback.py
@@ -1,10 +1,13 @@
 """Loopback addresses for the listeners of tests."""
 
 import random
+import socket
 
-__all__ = ["make_loopback_address", "make_loopback_ip"]
+__all__ = ["make_loopback_address", "make_loopback_ip", "reserve_loopback_subnet"]
 
 _PORT = 7_000
+_RESERVATION_PORT = 7_999
+_SUBNET_ATTEMPTS = 50
 _random = random.SystemRandom()
 
 
@@ -17,7 +20,7 @@
     Returns
     -------
     str
-        Address below 127.64.0.0; the simulated fleets use higher ones.
+        Address below 127.64.0.0, outside the reserved subnets.
     """
     octets = (_random.randrange(1, 64), _random.randrange(256), _random.randrange(256))
     return "127." + ".".join(map(str, octets))
@@ -26,3 +29,31 @@
 def make_loopback_address() -> str:
     """Return ``IP:port`` at a loopback IP address of its own, for TCP and for UDP."""
     return f"{make_loopback_ip()}:{_PORT}"
+
+
+def reserve_loopback_subnet() -> tuple[socket.socket, str]:
+    """Reserve a loopback subnet for the fleet of one process.
+
+    Returns
+    -------
+    socket.socket
+        Holds the reservation until it is closed.
+    str
+        First three octets of the subnet, for example ``127.64.0``.
+
+    Raises
+    ------
+    OSError
+        If other fleets use all subnets that were tried.
+    """
+    for _ in range(_SUBNET_ATTEMPTS):
+        subnet = f"127.{_random.randrange(64, 128)}.{_random.randrange(256)}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{subnet}.1", _RESERVATION_PORT))
+            reservation.listen(1)
+        except OSError:
+            reservation.close()
+        else:
+            return reservation, subnet
+    raise OSError("no free loopback subnet")
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -16,6 +16,7 @@
 from vanillapitch_relay.model import Settings
 
 from vanillapitch_testbed.event_loop import LoopClock
+from vanillapitch_testbed.loopback import reserve_loopback_subnet
 from vanillapitch_testbed.platform_standins._caller import CallerResponse, send_request
 from vanillapitch_testbed.platform_standins._endpoint import SimulatedEndpoint
 from vanillapitch_testbed.platform_standins._load import OfferedRequest, offer_load
@@ -26,7 +27,6 @@
 HOST = "shop.example"
 STORE_PORT = 8309
 MAX_VMS = 20
-_fleet_numbers = itertools.count(1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -207,10 +207,7 @@
     """
 
     def __init__(self, *, services: list[ServiceSpec]):
-        # Each fleet of a process has its own address range.
-        self._address_prefix = (
-            f"127.{64 + os.getpid() % 128}.{next(_fleet_numbers) % 250}"
-        )
+        self._reservation, self._address_prefix = reserve_loopback_subnet()
         self.services = services
         self.store = SimulatedStore(
             address=f"{self._address_prefix}.1:{STORE_PORT}",
@@ -245,6 +242,7 @@
             await self.kill_daemon(vm)
             await vm.endpoint.stop()
         await self.store.stop()
+        self._reservation.close()
 
     def configure(self, **options: object) -> int:
         """Write a new configuration; return its store revision."""
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -111,6 +111,7 @@
             self._close_pidfd(vm)
             await vm.endpoint.stop()
         await self.store.stop()
+        self._reservation.close()
         self._folder.cleanup()
 
     def _close_pidfd(self, vm: Vm) -> None:
