Treat a lost claim as pending while another send holds the key

What callers saw: a key whose every send was refused as outcome_unknown for up to 25 hours, although no request with it was running. Seen in the model, not reported by users.

Cause: the store's answer to a claim was lost, and the read after it showed the claim of another send. That was taken as final. When the other claim was released, the delayed write could still be applied; its holder had dropped the claim, so nobody could say that it never ran.

Change: after a lost answer, a claim that finds the key taken counts as not seen yet. Its send asks again and gets a certain answer, and remembers that a late write may exist, so its holder keeps stating not_run and the next send removes the claim.

Ruled out: a new status between daemons; the existing one says the same, so older builds understand it. Ends and releases are not concerned, their expected value never returns.

Evidence: the model of all interleavings has a new invariant (the holder of an answered send knows its claim while that is in the store).

--- a/packages/vanillapitch-core/src/vanillapitch_core/claims/changes.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/claims/changes.py
@@ -188,7 +188,8 @@
     """
     if _was_applied(change, current):
         return ChangeOutcome(status=ChangeStatus.APPLIED)
-    can_still_apply = current == (change.expected or None)
+    # A claim of another send may be released before the delayed write is applied.
+    can_still_apply = change.kind is ChangeKind.CREATE or current == change.expected
     if can_still_apply:
         return ChangeOutcome(status=ChangeStatus.NOT_SEEN)
     return ChangeOutcome(status=ChangeStatus.TAKEN, current=current or b"")
--- a/packages/vanillapitch-core/tests/test_claims_model.py
+++ b/packages/vanillapitch-core/tests/test_claims_model.py
@@ -230,7 +230,21 @@
     return answer
 
 
+def check_no_orphan(system):
+    """Check that the claim in the store can be removed if its send gave up."""
+    if system.value is None:
+        return
+    record = parse_claim(system.value)
+    holder = system.actors[int(record.holder)]
+    if record.state is ClaimState.RUNNING and holder.alive and holder.answer:
+        statement = HolderState(claims=holder.held).statement(record.claim_id)
+        assert not isinstance(statement, sender.HolderGone), (
+            "the claim of an answered send is unknown to its holder and blocks the key"
+        )
+
+
 def check(system):
+    check_no_orphan(system)
     executed = [actor for actor in system.actors if actor.ran]
     assert len(executed) <= 1, "the key was executed twice"
     for actor in system.actors:
