Count the ends of claims that are being sent

What operators saw: after a stop, a log line and an exit result that counted ends of claims as not recorded although they were stored, some of them twice.

Cause: the recorder kept a number for the whole batch that was being sent until its last committer answered; ends that had to be sent again stood in the queue meanwhile and counted again. The same gap let a slow committer fill the queue beyond its limits: ends being sent counted neither for the number nor for the bytes, and came back without a check.

Change: each end that is being sent is kept by its claim id and settled alone. Both limits cover it. The report names ends that were not sent and ends whose answer is missing, which may still be stored.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
@@ -67,8 +67,9 @@
         self._count_event = count_event
         self._changed = threading.Condition()
         self._pending: list[_Pending] = []
-        self._pending_bytes = 0
-        self._sending_count = 0
+        # Ends that are due are being sent; the limits cover both.
+        self._sending_by_id: dict[str, _Pending] = {}
+        self._held_bytes = 0
         self._stopping = False
         self._thread = threading.Thread(
             target=self._run, name="claims-recorder", daemon=True
@@ -80,18 +81,19 @@
 
     def has_capacity(self, size_bytes: int) -> bool:
         """Return whether a result of this size fits into the queue."""
-        return self._pending_bytes + size_bytes <= MAX_PENDING_BYTES
+        return self._held_bytes + size_bytes <= MAX_PENDING_BYTES
 
     def add(self, claim_id: str, change: ClaimChange) -> None:
         """Queue the end of a claim without blocking."""
         due_at_ms = self._clock.now_ms() + BATCH_DELAY_MS
         pending = _Pending(claim_id=claim_id, change=change, due_at_ms=due_at_ms)
         with self._changed:
-            if len(self._pending) >= MAX_PENDING_COUNT:
+            if self._held_count >= MAX_PENDING_COUNT:
                 self._count_event("end_not_recorded")
                 _log.error("claims: the queue is full; the end of a claim is dropped")
                 return
-            self._push(pending)
+            self._pending.append(pending)
+            self._held_bytes += change.size_bytes
             self._changed.notify_all()
 
     def notify_stored(self, claim_id: str) -> None:
@@ -112,48 +114,49 @@
         Returns
         -------
         bool
-            Whether all ends were stored in time.
+            Whether all ends were stored in time. Those being sent at the end of the
+            time limit may still be stored.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
         with self._changed:
             for pending in self._pending:
                 pending.due_at_ms = self._clock.now_ms()
             self._changed.notify_all()
-            while self._pending or self._sending_count:
+            while self._held_count:
                 remaining_ms = deadline_ms - self._clock.now_ms()
                 if remaining_ms <= 0:
                     break
                 self._changed.wait(remaining_ms / 1000)
-            unrecorded = len(self._pending) + self._sending_count
+            unsent, unconfirmed = len(self._pending), len(self._sending_by_id)
             self._stopping = True
             self._changed.notify_all()
-        if unrecorded:
+        if unsent or unconfirmed:
             _log.error(
-                "claims: stopped before all ends were recorded count=%d", unrecorded
+                "claims: stopped before all ends were stored unsent=%d unconfirmed=%d",
+                unsent,
+                unconfirmed,
             )
-        return unrecorded == 0
+        return not unsent and not unconfirmed
+
+    @property
+    def _held_count(self) -> int:
+        return len(self._pending) + len(self._sending_by_id)
 
     def _run(self) -> None:
         while True:
             with self._changed:
-                batch = self._take_due()
-                while not batch and not self._stopping:
+                while not self._stopping and not (batch := self._take_due()):
                     self._changed.wait(self._wait_s())
-                    batch = self._take_due()
                 if self._stopping:
                     return
             self._send(batch)
-            with self._changed:
-                self._sending_count = 0
-                self._changed.notify_all()
 
     def _take_due(self) -> list[_Pending]:
         now_ms = self._clock.now_ms()
         batch = [each for each in self._pending if each.due_at_ms <= now_ms]
         if batch:
             self._pending = [each for each in self._pending if each.due_at_ms > now_ms]
-            self._pending_bytes -= sum(each.change.size_bytes for each in batch)
-            self._sending_count = len(batch)
+            self._sending_by_id = {each.claim_id: each for each in batch}
         return batch
 
     def _wait_s(self) -> float | None:
@@ -189,16 +192,18 @@
                 self._count_event("end_recorded")
                 self.notify_stored(pending.claim_id)
             else:
-                self._retry(pending)
+                self._count_event("end_retried")
+            self._settle(pending, is_final)
 
-    def _retry(self, pending: _Pending) -> None:
-        delay_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2**pending.failures)
-        pending.failures += 1
-        pending.due_at_ms = self._clock.now_ms() + delay_ms
-        self._count_event("end_retried")
+    def _settle(self, pending: _Pending, is_final: bool) -> None:
+        """Release an end that is stored, or queue it again."""
         with self._changed:
-            self._push(pending)
-
-    def _push(self, pending: _Pending) -> None:
-        self._pending.append(pending)
-        self._pending_bytes += pending.change.size_bytes
+            del self._sending_by_id[pending.claim_id]
+            if is_final:
+                self._held_bytes -= pending.change.size_bytes
+            else:
+                delay_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2**pending.failures)
+                pending.failures += 1
+                pending.due_at_ms = self._clock.now_ms() + delay_ms
+                self._pending.append(pending)
+            self._changed.notify_all()
