Keep recording the ends of claims after an unexpected error

What callers would see: results of keyed requests that are never stored, so that every later send with the key gets outcome_unknown once the holder is gone.

Cause: an error other than an unreachable peer ended the thread of the recorder without a log entry of its own; the queue then only grew.

Change: such an error is logged with its stack and the ends are sent again.

Evidence: the new test failed before, its flush timed out.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
@@ -187,6 +187,9 @@
         except (PeerNotReached, PeerReplyLost) as error:
             _log.warning("claims: recording the ends of claims failed: %s", error)
             are_final = [False] * len(group)
+        except Exception:
+            _log.exception("claims: unexpected error while recording ends of claims")
+            are_final = [False] * len(group)
         for pending, is_final in zip(group, are_final, strict=True):
             if is_final:
                 self._count_event("end_recorded")
--- a/packages/vanillapitch-daemon/tests/test_recorder.py
+++ b/packages/vanillapitch-daemon/tests/test_recorder.py
@@ -21,6 +21,7 @@
     """Committers named like the keys; the one named ``slow`` answers on release."""
 
     def __init__(self):
+        self.errors = []
         self.sent = threading.Semaphore(0)
         self.released = threading.Event()
 
@@ -29,6 +30,8 @@
 
     def commit(self, committer, changes, deadline_ms):
         self.sent.release()
+        if self.errors:
+            raise self.errors.pop()
         if committer == "slow":
             self.released.wait(5)
         return [APPLIED] * len(changes)
@@ -88,3 +91,12 @@
     assert recorder.flush(5_000)
     assert recorder.has_capacity(_recorder.MAX_PENDING_BYTES)
     assert not routes.sent.acquire(blocking=False)
+
+
+def test_an_unexpected_error_does_not_stop_the_recording(recorder, routes, monkeypatch):
+    # Guards against ends that are never stored because one call failed unexpectedly.
+    monkeypatch.setattr(_recorder, "FIRST_RETRY_MS", 10.0)
+    routes.errors = [RuntimeError("broken")]
+    add(recorder, "c1", "fast")
+    assert routes.sent.acquire(timeout=5)
+    assert recorder.flush(5_000)
