Tell a cut response from a lost connection in the soak's callers

What it hid: the soak's check of complete responses (I4) never saw an incomplete one. The caller recorded it as a lost connection, which is allowed beside restarts.

Cause: urllib3 wraps the error of a body that ends early, so the test of its type never held.

Change: the caller looks at the wrapped error.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/callers/_call.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/callers/_call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import http.client
 import json
 import time
 import uuid
@@ -115,7 +116,8 @@
         call.code, call.outcome = "not_sent", "not_run"
     except urllib3.exceptions.HTTPError as error:
         call.code, call.outcome = "connection_lost", "unknown"
-        if isinstance(error, urllib3.exceptions.IncompleteRead):
+        # urllib3 wraps the error of a body that ends early in a `ProtocolError`.
+        if isinstance(error.__cause__, http.client.IncompleteRead):
             call.code = "partial_answer"
     else:
         _record_response(call, response, body)
