Report a race that is lost at the deadline as a conflict

What operators saw: a change rejected as store_unavailable ("the store did not answer"), although the store had answered that another operator's change came first.

Cause: after a lost compare-and-swap the current document is read, but not past the deadline of the change; its end at the deadline was then reported like that of a silent store.

Change: the read after a lost race is made also at the deadline. It is bounded by the time-out of one store call. If it fails, the change is still rejected as unavailable, and the text says that the store did not answer in time.

Evidence: the model of two racing changes now requires that a write that was answered ends as accepted or as a conflict; without faults, it found the wrong rejection before.

--- a/packages/vanillapitch-core/src/vanillapitch_core/configuration/_change.py
+++ b/packages/vanillapitch-core/src/vanillapitch_core/configuration/_change.py
@@ -233,7 +233,7 @@
         Milliseconds since the Unix epoch.
     deadline_ms : float
         Monotonic time after which the last known outcome is reported without
-        further calls.
+        further calls, apart from one read after a lost race.
     floor_revision : int
         Revision in force at this daemon; the store must not be behind it.
     is_resent : bool
@@ -337,7 +337,8 @@
     if isinstance(event, TablesWritten):
         if event.succeeded:
             return _finish(state, _accepted(state.proposal))
-        return _read_back(state, event.now_ms, delay_ms=0.0)
+        # Also at the deadline: the operator is told which revision came first.
+        return _start_reading_back(state, delay_ms=0.0)
     assert isinstance(event, StoreFailed)
     if event.kind == FailureKind.UNKNOWN:
         state = dataclasses.replace(state, may_be_written=True)
@@ -383,6 +384,12 @@
 ) -> tuple[ChangeState, ChangeEffect]:
     if now_ms + delay_ms >= state.deadline_ms:
         return _finish_at_deadline(state)
+    return _start_reading_back(state, delay_ms=delay_ms)
+
+
+def _start_reading_back(
+    state: ChangeState, *, delay_ms: float
+) -> tuple[ChangeState, ChangeEffect]:
     state = _next_attempt(state, _Phase.READING_BACK)
     return state, ReadTables(
         attempt=state.attempt,
@@ -429,7 +436,7 @@
     if kind == FailureKind.REJECTED:
         detail = "the store refused the call"
         return _reject(state, RejectionReason.STORE_REJECTED, detail)
-    detail = "the store did not answer; nothing was written"
+    detail = "the store did not answer in time; nothing was written"
     return _reject(state, RejectionReason.STORE_UNAVAILABLE, detail)
 
 
--- a/packages/vanillapitch-core/tests/test_configuration_model.py
+++ b/packages/vanillapitch-core/tests/test_configuration_model.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Iterator
 
 import pytest
@@ -217,9 +218,10 @@
 @pytest.mark.parametrize("faults", [0, 1, 2, 3])
 def test_one_of_two_racing_changes_wins(faults):
     # Guards against an accepted change that is lost, two changes that are both accepted
-    # for one base revision, and a reported outcome that contradicts the store. These
-    # come about when store calls fail, or their answers or writes arrive late, while
-    # two operators change revision 4.
+    # for one base revision, and a reported outcome that contradicts the store, such as
+    # a store without an answer when another operator won. These come about when store
+    # calls fail, or their answers or writes arrive late, while two operators change
+    # revision 4.
     racing = (
         start_operator(table_change("a"), "a"),
         start_operator(table_change("b"), "b"),
@@ -233,6 +235,9 @@
         decided = {ChangeOutcome.ACCEPTED, ChangeOutcome.CONFLICT}
         if set(outcomes) <= decided:
             assert sorted(outcomes) == ["accepted", "conflict"]
+        if not faults:
+            has_written = [operator.state.attempt > 1 for operator in model.operators]
+            assert set(itertools.compress(outcomes, has_written)) <= decided
     if not faults:
         unrejected = [w for w in final if "rejected" not in _outcomes(w)]
         assert all(len(model.history) == 1 for model in unrejected)
