End a soak's period at the first request to reverse it

Cause, of the check: if the response to the zone's return is an error, the reversal is requested again, and the period was recorded a second time with the later end. The first request may have taken effect, as responses of the store are lost on purpose. The same holds for leaving endpoints and stops.

Change: each period is recorded once, at the first request. A violation now names its request, and a run with violations prints its timeline, since a second run differs.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/checks.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/checks.py
@@ -162,7 +162,8 @@
             if is_late and entry.server in window.servers:
                 late_ms = entry.began_ms - window.began_ms
                 detail = (
-                    f"{entry.server} started a request {late_ms} ms after the change"
+                    f"{entry.server} started a request {late_ms} ms after the change "
+                    f"({entry.nonce}, {entry.target}, at {entry.began_ms})"
                 )
                 violations.append(Violation(invariant=window.invariant, detail=detail))
     return violations
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/__main__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/__main__.py
@@ -39,7 +39,8 @@
 
 
 def _print_result(result: SoakResult, *, with_timeline: bool) -> None:
-    if with_timeline:
+    # A second run differs, so a violation is traced from the timeline of its own run.
+    if with_timeline or result.violations:
         print("\n".join(result.timeline))
     for summary in summarize(result.calls):
         codes = sorted(summary.refusals_by_code.items())
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/soak/_faults.py
@@ -152,13 +152,13 @@
     fleet, vm = context.fleet, context.pick_vm("backend")
     fleet.announce(vm, "leaving")
     process_ids = (vm.backend.pid, vm.daemon.pid)
-    announced_ms = _CLOCK.wall_ms()
+    record_window = _make_window_recorder(context, "I7", {vm.name})
 
     def undo() -> None:
         # After a restart of either process, the backend server is announced as ready,
         # so it may receive requests in this period.
         if (vm.backend.pid, vm.daemon.pid) == process_ids:
-            _record_window(context, "I7", {vm.name}, announced_ms)
+            record_window()
         if vm.daemon.is_running():
             fleet.announce_until_accepted(vm)
 
@@ -171,14 +171,31 @@
     )
 
 
-def _record_window(context, invariant: str, servers: set[str], began_ms: int) -> None:
-    window = Window(
-        invariant=invariant,
-        servers=frozenset(servers),
-        began_ms=began_ms,
-        ended_ms=_CLOCK.wall_ms(),
-    )
-    context.windows.append(window)
+def _make_window_recorder(
+    context: FaultContext, invariant: str, servers: set[str]
+) -> Callable[[], None]:
+    """Return a function that records a period, which begins now, on its first call.
+
+    A failed reversal is requested again, although its first request may have taken
+    effect.
+    """
+    began_ms = _CLOCK.wall_ms()
+    has_ended = False
+
+    def record_window() -> None:
+        nonlocal has_ended
+        if has_ended:
+            return
+        has_ended = True
+        window = Window(
+            invariant=invariant,
+            servers=frozenset(servers),
+            began_ms=began_ms,
+            ended_ms=_CLOCK.wall_ms(),
+        )
+        context.windows.append(window)
+
+    return record_window
 
 
 def _pause_daemon(context: FaultContext) -> ActiveFault:
@@ -207,7 +224,7 @@
 
 def _stop_daemon(context: FaultContext) -> ActiveFault:
     vm = context.pick_vm("daemon")
-    signaled_ms = _CLOCK.wall_ms()
+    record_window = _make_window_recorder(context, "I7", {vm.name})
     vm.daemon.send_signal(signal.SIGTERM)
 
     def undo() -> None:
@@ -215,7 +232,7 @@
         if code:
             detail = f"the daemon of {vm.name} stopped with exit code {code}"
             context.violations.append(Violation(invariant="I8", detail=detail))
-        _record_window(context, "I7", {vm.name}, signaled_ms)
+        record_window()
         context.fleet.restart_daemon(vm)
 
     return ActiveFault(
@@ -288,12 +305,12 @@
     zone = context.rng.choice(fleet.deployment.zones)
     operator_vm = _pick_running_vm(context)
     response = fleet.set_zone(zone, in_service=False, vm=operator_vm)
-    out_ms = _CLOCK.wall_ms()
     servers = {vm.name for vm in fleet.vms if vm.zone == zone}
+    record_window = _make_window_recorder(context, "I3", servers)
 
     def undo() -> None:
         if response.status == 200:
-            _record_window(context, "I3", servers, out_ms)
+            record_window()
         _zone_in(context, zone)
 
     return ActiveFault(
