Close a backend server's connection after a shed request

What callers would see: a request refused as not_run although it was executed, and executed again by a retry elsewhere.

Cause: after a shed request its connection went back to the idle ones. A copy of the refusal that came after the next request had been sent was taken for the answer to that request.

Change: a connection whose response states Load-Shed is closed. It costs one connection for each shed request. Copies that come while a connection is idle were noticed before.

Ruled out: taking refusals only with an id of the request, as the relay does; backend servers of this daemon echo no id, so every refusal on a kept connection would become a 502. A late copy of another response on a connection in use again cannot be told without an id.

Evidence: the new test got 503 not_run for an executed request before; now the second request is executed on a new connection.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
@@ -29,7 +29,9 @@
     ResponseTooLarge,
 )
 
-__all__ = ["BackendClient", "Cancellation"]
+__all__ = ["BackendClient", "Cancellation", "is_load_shed"]
+
+LOAD_SHED_HEADER = "load-shed"
 
 CONNECT_TIMEOUT_MS = 1_000
 CANCEL_CHECK_MS = 50.0
@@ -43,6 +45,14 @@
 CRASH_CHECK_INTERVAL_MS = 25
 
 
+def is_load_shed(response: Response) -> bool:
+    """Return whether a header states that the request was shed, not executed."""
+    return any(
+        header.name.lower() == LOAD_SHED_HEADER and header.value.strip() == "1"
+        for header in response.headers
+    )
+
+
 class Cancellation:
     """Indicates whether the caller or ingress no longer waits for the response.
 
@@ -147,7 +157,11 @@
         except BaseException:
             connection.close()
             raise
-        self._release(connection)
+        if is_load_shed(response):
+            # A copy of the refusal that comes later must not refuse another request.
+            connection.close()
+        else:
+            self._release(connection)
         return response
 
     def accepts_connections(self) -> bool:
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_service.py
@@ -13,7 +13,11 @@
     Release,
     ask_admission,
 )
-from vanillapitch_daemon.owner._backend import BackendClient, Cancellation
+from vanillapitch_daemon.owner._backend import (
+    BackendClient,
+    Cancellation,
+    is_load_shed,
+)
 from vanillapitch_daemon.owner.exceptions import (
     BackendCancelled,
     BackendConnectTimedOut,
@@ -28,7 +32,6 @@
 
 __all__ = ["Owner", "OwnerHandler"]
 
-LOAD_SHED_HEADER = "load-shed"
 
 _REFUSALS_BY_ERROR = {
     BackendRefused: (RefusalCode.NO_ENDPOINT, Outcome.NOT_RUN),
@@ -208,12 +211,7 @@
     def _is_shed(self, pool_name: str, response: Response) -> bool:
         pool = self._snapshot.current.pools_by_name.get(pool_name)
         shed_status = 503 if pool is None else pool.shed_status
-        if response.status != shed_status:
-            return False
-        return any(
-            header.name.lower() == LOAD_SHED_HEADER and header.value.strip() == "1"
-            for header in response.headers
-        )
+        return response.status == shed_status and is_load_shed(response)
 
 
 class OwnerHandler:
--- a/packages/vanillapitch-daemon/tests/test_path.py
+++ b/packages/vanillapitch-daemon/tests/test_path.py
@@ -216,7 +216,11 @@
 
 @pytest.fixture
 def serve_raw():
-    """Return a function that serves each request with a function of its connection."""
+    """Return a function that starts a backend server and returns its port.
+
+    It reads the head of each connection's first request and calls the given function
+    with the connection and the first line.
+    """
     listeners = []
 
     def start(respond):
@@ -225,11 +229,11 @@
 
         def serve_connection(connection):
             with connection, connection.makefile("rb") as request:
-                if request.readline():
+                if line := request.readline():
                     while request.readline() != b"\r\n":
                         pass
                     with contextlib.suppress(OSError):
-                        respond(connection)
+                        respond(connection, line)
 
         def serve():
             while True:
@@ -262,7 +266,8 @@
 ):
     # Guards against a success with an empty body because the backend server closed the
     # connection in the middle of the head of its response.
-    (ingress,) = make_daemons(serve_raw(lambda connection: connection.sendall(head)))
+    port = serve_raw(lambda connection, line: connection.sendall(head))
+    (ingress,) = make_daemons(port)
     response = http_pool.request("POST", url(ingress))
     assert response.status == 502
     assert response.json()["outcome"] == "unknown"
@@ -283,7 +288,7 @@
 ):
     # Guards against a backend server that sends a byte now and then, and so holds a
     # slot and its caller long after the deadline of 500 ms.
-    def respond(connection):
+    def respond(connection, line):
         connection.sendall(start)
         while True:
             time.sleep(0.05)
@@ -297,3 +302,29 @@
     assert time.monotonic() - started_s < 1.5
     assert response.status == 504
     assert response.json()["outcome"] == "unknown"
+
+
+def test_a_repeated_refusal_never_refuses_the_next_request(
+    make_daemons, http_pool, serve_raw
+):
+    # Guards against a false not_run, and a second execution by a retry, when a backend
+    # server writes an earlier refusal once more on a connection in use again.
+    refusal = b"HTTP/1.1 503 Busy\r\nLoad-Shed: 1\r\nContent-Length: 0\r\n\r\n"
+    refused, executed_late = [], []
+
+    def respond(connection, line):
+        if not line.startswith(b"POST") or refused:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            return
+        refused.append(line)
+        connection.sendall(refusal)
+        if connection.recv(65_536):
+            executed_late.append(line)
+            connection.sendall(refusal)
+
+    (ingress,) = make_daemons(serve_raw(respond))
+    first = http_pool.request("POST", url(ingress))
+    second = http_pool.request("POST", url(ingress))
+    assert (first.status, first.json()["outcome"]) == (503, "not_run")
+    assert (second.status, second.data) == (200, b"ok")
+    assert not executed_late
