Refuse responses that end in a chunk size in the threaded daemon

What callers would see: a shortened body with status 200, when a backend server closes the connection inside a chunk size that has leading zeros ("0400" cut to "0").

Cause: http.client takes a line that ends with the stream for a whole line.

Change: the reader of a response refuses every incomplete line: status, headers, chunk sizes and trailers. It replaces the check of the head's last line.

Evidence: the new test got 200 for the cut chunk size before, 502 now; a short length, a missing chunk and a cut chunk were 502 before as well.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend_connection.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend_connection.py
@@ -1,4 +1,4 @@
-"""Connection to the backend server with a deadline and complete heads."""
+"""Connection to the backend server with a deadline and complete responses."""
 
 import http.client
 import socket
@@ -9,38 +9,33 @@
 __all__ = ["BackendConnection"]
 
 
-class _HeadReader:
-    """File that records the last line read."""
+class _LineReader:
+    """File whose lines must be complete.
+
+    `http.client` also takes the end of the stream for the end of a head, and a chunk
+    size that is cut off for a whole one.
+    """
 
     def __init__(self, file):
         self._file = file
-        self.last_line = b""
 
     def readline(self, limit: int = -1) -> bytes:
-        """Read and record a line."""
-        self.last_line = self._file.readline(limit)
-        return self.last_line
+        """Read a line; raises `http.client.RemoteDisconnected` if it is cut off."""
+        line = self._file.readline(limit)
+        if not line.endswith(b"\n") and len(line) != limit:
+            raise http.client.RemoteDisconnected("a line of a response is incomplete")
+        return line
 
     def __getattr__(self, name: str):
         return getattr(self._file, name)
 
 
 class _Response(http.client.HTTPResponse):
-    """Response whose head must end with an empty line.
-
-    `http.client` also accepts the end of the stream as the end of the head.
-    """
+    """Response whose head and chunk sizes must be complete."""
 
-    def begin(self) -> None:
-        """Read the head; raises `http.client.RemoteDisconnected` if it is cut."""
-        file = self.fp
-        head = _HeadReader(file)
-        self.fp = head
-        super().begin()
-        if self.fp is head:
-            self.fp = file
-        if head.last_line.strip(b"\r\n") or not head.last_line:
-            raise http.client.RemoteDisconnected("the head of a response is incomplete")
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.fp = _LineReader(self.fp)
 
 
 class _DeadlineSocket(socket.socket):
@@ -71,7 +66,7 @@
 
 
 class BackendConnection(HTTPConnection):
-    """Connection of urllib3 with strict heads, whose exchanges end at a deadline.
+    """Connection of urllib3 with complete responses and exchanges that end in time.
 
     Parameters
     ----------
--- a/packages/vanillapitch-daemon/tests/test_path.py
+++ b/packages/vanillapitch-daemon/tests/test_path.py
@@ -328,3 +328,23 @@
     assert (first.status, first.json()["outcome"]) == (503, "not_run")
     assert (second.status, second.data) == (200, b"ok")
     assert not executed_late
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhal",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0",
+    ],
+)
+def test_a_response_that_breaks_off_is_no_success(
+    make_daemons, http_pool, serve_raw, response
+):
+    # Guards against a shortened body that looks complete to the caller.
+    port = serve_raw(lambda connection, line: connection.sendall(response))
+    (ingress,) = make_daemons(port)
+    received = http_pool.request("POST", url(ingress))
+    assert received.status == 502
+    assert received.json()["outcome"] == "unknown"
