Measure the stand-in's writes without waits for a core

Cause, of the test: it measured wall time, in which other processes kept the store and the client from a core.

Change: the time that the client's thread and the thread that serves it waited for a core, as Linux counts it for each thread, is subtracted; the bound of 1 s stays. Without such waits, or without the counters, the test is the same as before; time in which the store or the client runs, sleeps or waits for the other still counts.

--- a/tests/integration/test_store.py
+++ b/tests/integration/test_store.py
@@ -1,5 +1,8 @@
 """Tests of the store client against the simulated store's process."""
 
+import contextlib
+import os
+import pathlib
 import threading
 import time
 import uuid
@@ -218,10 +221,33 @@
     assert time.monotonic() - started_s > 0.4
 
 
-def test_store_process_sustains_several_hundred_writes_a_second(store, key):
+def core_waits_s(process_id):
+    """Return by thread how long each has waited for a core, as Linux counts it."""
+    waits_s = {}
+    for path in pathlib.Path(f"/proc/{process_id}/task").glob("*/schedstat"):
+        with contextlib.suppress(OSError):
+            waits_s[path.parent.name] = int(path.read_text().split()[1]) / 1e9
+    return waits_s
+
+
+def longest_core_wait_s(before_s, after_s):
+    """Return the longest time that one thread waited for a core meanwhile."""
+    waits_s = [wait_s - before_s.get(thread, 0.0) for thread, wait_s in after_s.items()]
+    return max(waits_s, default=0.0)
+
+
+def test_store_process_sustains_several_hundred_writes_a_second(
+    store, store_process, key
+):
     # Guards against a simulated store that is slower than the platform's store: 300
-    # writes must take less than 1 s.
+    # writes must take less than 1 s, apart from the time in which other processes keep
+    # the client and the thread that serves it from a core.
+    process_ids = (os.getpid(), store_process.process.pid)
+    before_s = [core_waits_s(process_id) for process_id in process_ids]
     started_s = time.monotonic()
     for index in range(300):
         create(store, f"{key}/{index}")
-    assert time.monotonic() - started_s < 1
+    took_s = time.monotonic() - started_s
+    after_s = [core_waits_s(process_id) for process_id in process_ids]
+    waited_s = sum(map(longest_core_wait_s, before_s, after_s))
+    assert took_s - waited_s < 1
