Read the tables again when a watch starts ahead of the store

Cause: the daemons that watch the store went on from the revision after the last one they had seen. The restored store gives out lower ones, so it delivered nothing until it passed that revision.

Change: the first message of a watch names the store's revision. If that is behind the start of the watch, the client reports StoreRestored, a kind of StoreCompacted, and the watcher reads the document. A member of the store that lags behind causes one more read, no fault.

Ruled out: reading after every failed call. It would miss a restore between two watches and would add reads to every outage.

--- a/packages/vanillapitch-store/src/vanillapitch_store/__init__.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/__init__.py
@@ -6,6 +6,7 @@
     StoreLeaseNotFound,
     StoreOutcomeUnknown,
     StoreRejected,
+    StoreRestored,
     StoreUnavailable,
 )
 from vanillapitch_store.model import (
@@ -55,6 +56,7 @@
     "StoreLeaseNotFound",
     "StoreOutcomeUnknown",
     "StoreRejected",
+    "StoreRestored",
     "StoreUnavailable",
     "Transaction",
     "TransactionResult",
--- a/packages/vanillapitch-store/src/vanillapitch_store/exceptions.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/exceptions.py
@@ -46,3 +46,9 @@
     """A watch starts at a revision whose events the store no longer has."""
 
     code = "store_compacted"
+
+
+class StoreRestored(StoreCompacted):
+    """A watch starts at a revision that the store, restored from a copy, lacks."""
+
+    code = "store_restored"
--- a/packages/vanillapitch-store/src/vanillapitch_store/gateway.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/gateway.py
@@ -14,6 +14,7 @@
     StoreLeaseNotFound,
     StoreOutcomeUnknown,
     StoreRejected,
+    StoreRestored,
     StoreUnavailable,
 )
 from vanillapitch_store.model import (
@@ -292,6 +293,12 @@
                 raise StoreCompacted(
                     f"events before revision {result.compact_revision} are lost"
                 )
+            if result.created and 0 < result.header.revision < from_revision - 1:
+                # It would deliver nothing until its revisions reach `from_revision`.
+                raise StoreRestored(
+                    f"the store is at revision {result.header.revision}, behind the "
+                    f"start {from_revision} of the watch"
+                )
             if result.canceled:
                 raise _ResponseLost("the store cancelled the watch")
             if result.events:
--- a/packages/vanillapitch-store/src/vanillapitch_store/store.py
+++ b/packages/vanillapitch-store/src/vanillapitch_store/store.py
@@ -82,4 +82,7 @@
             If no address of the store responds, or the stream is interrupted.
         StoreCompacted
             If events since `from_revision` are no longer kept; read the key instead.
+        StoreRestored
+            If the store has not reached `from_revision`, as it was restored from an
+            older copy; read the key instead.
         """
