Give all daemons of a test loopback addresses of their own

The gossip port was in use for UDP by another process.

Change: the listeners for peers, gossip and administration, the stand-in's address and the nodes of the claims tests use loopback addresses of their own. Callers' ports stay at 127.0.0.1, where the tests expect them; they are bound within milliseconds, for TCP only.

--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -18,6 +18,7 @@
 from vanillapitch_daemon.settings import parse_settings
 from vanillapitch_daemon.transport import Transport
 from vanillapitch_store import EtcdGatewayStore
+from vanillapitch_testbed.loopback import make_loopback_address
 from vanillapitch_wire import Server
 from vanillapitch_wire.claims import CLAIMS_SERVICE, ClaimsProcessor
 
@@ -100,7 +101,7 @@
 @pytest.fixture
 def store_address():
     """Return an address without a store; modules with keyed requests override it."""
-    return f"127.0.0.1:{free_port()}"
+    return make_loopback_address()
 
 
 @pytest.fixture
@@ -109,9 +110,9 @@
         document = {
             "instance": {"zone": "zone-a", "region": "north"},
             "listen": {
-                name: f"127.0.0.1:{free_port()}"
-                for name in ("callers", "peers", "gossip", "admin")
-            },
+                name: make_loopback_address() for name in ("peers", "gossip", "admin")
+            }
+            | {"callers": f"127.0.0.1:{free_port()}"},
             "backend": {
                 "address": f"127.0.0.1:{backend_port}",
                 "service": "catalog",
@@ -161,9 +162,9 @@
 
     def __init__(self, store_address):
         clock = SystemClock()
-        port = free_port()
+        address = make_loopback_address()
         options = {"cluster_key": b"k" * 32, "max_frame_bytes": 1_000_000}
-        self.instance = f"127.0.0.1:{port}/1"
+        self.instance = f"{address}/1"
         self.transport = Transport(clock=clock, **options)
         self.events = []
         self.claims = build_claims(
@@ -177,7 +178,7 @@
         )
         processor = ClaimsProcessor(self.claims.handler)
         self.server = Server(
-            address=("127.0.0.1", port),
+            address=(address.rpartition(":")[0], int(address.rpartition(":")[2])),
             processors_by_service={CLAIMS_SERVICE: processor},
             worker_threads=16,
             **options,
