Let the fleet of processes stop like its base class

Its stop repeated the steps of SimulatedFleet.stop, so the release of the subnet had to be added in both. It calls the base class now and then closes what it adds. No change of behaviour.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -106,12 +106,9 @@
 
     async def stop(self) -> None:
         """Stop all daemons, endpoints and the store."""
+        await super().stop()
         for vm in self.vms:
-            await self.kill_daemon(vm)
             self._close_pidfd(vm)
-            await vm.endpoint.stop()
-        await self.store.stop()
-        self._reservation.close()
         self._folder.cleanup()
 
     def _close_pidfd(self, vm: Vm) -> None:
