Share the accept loop of the tests, and drop the choice of ports

The tests of the daemon's request path, the callers and the lossy administration each had their own loop that accepts connections; one fixture serves them. The daemons' settings take loopback addresses for all four listeners, so the function that looks for a free port is gone. For that the callers' server names its address instead of its port, which only tests read. The same tests with the same assertions.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -217,9 +217,43 @@
 
 
 @pytest.fixture
-def lossy_admin(running_admin):
+def serve_connections():
+    """Return a function that serves each connection with a function, on a thread.
+
+    It returns the IP address and the port.
+    """
+    listeners = []
+
+    def start(serve):
+        listener = socket.create_server(("127.0.0.1", 0))
+        listeners.append(listener)
+
+        def serve_one(connection):
+            with connection:
+                serve(connection)
+
+        def accept():
+            while True:
+                try:
+                    connection, _ = listener.accept()
+                except OSError:
+                    return
+                threading.Thread(
+                    target=serve_one, args=(connection,), daemon=True
+                ).start()
+
+        threading.Thread(target=accept, daemon=True).start()
+        return listener.getsockname()
+
+    yield start
+    for listener in listeners:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+
+
+@pytest.fixture
+def lossy_admin(running_admin, serve_connections):
     """Return the address of a proxy that drops the responses to PUT requests."""
-    listener = socket.create_server(("127.0.0.1", 0))
     host, _, port = running_admin.address.partition(":")
 
     def forward(connection):
@@ -233,18 +267,4 @@
         if not request.startswith(b"PUT"):
             connection.sendall(response)
 
-    def serve():
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                return
-            with connection:
-                forward(connection)
-
-    thread = threading.Thread(target=serve, daemon=True)
-    thread.start()
-    yield f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.shutdown(socket.SHUT_RDWR)
-    listener.close()
-    thread.join(timeout=2)
+    return "{}:{}".format(*serve_connections(forward))
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_server.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_server.py
@@ -73,6 +73,7 @@
         )
         self.server_name = self.adj.server_name
         self._listener = socket.create_server(address, backlog=LISTEN_BACKLOG)
+        self._host = address[0]
         self.effective_port = self._listener.getsockname()[1]
         self._pool = ReadinessPool(name="callers", threads=worker_threads)
         self._lock = threading.Lock()
@@ -81,9 +82,9 @@
         self._drained = threading.Event()
 
     @property
-    def port(self) -> int:
-        """TCP port that the server listens on."""
-        return self.effective_port
+    def address(self) -> str:
+        """``IP:port`` that the server listens on."""
+        return f"{self._host}:{self.effective_port}"
 
     def start(self) -> None:
         """Start to accept connections."""
--- a/packages/vanillapitch-daemon/tests/conftest.py
+++ b/packages/vanillapitch-daemon/tests/conftest.py
@@ -1,7 +1,6 @@
 """Shared fixtures: daemons in one process with small backend servers."""
 
 import http.server
-import socket
 import threading
 import time
 
@@ -15,7 +14,7 @@
 from vanillapitch_daemon.claims import build_claims
 from vanillapitch_daemon.main import start_daemon, stop_daemon
 from vanillapitch_daemon.picker import EndpointChanged
-from vanillapitch_daemon.settings import parse_settings
+from vanillapitch_daemon.settings import Address, parse_settings
 from vanillapitch_daemon.transport import Transport
 from vanillapitch_store import EtcdGatewayStore
 from vanillapitch_testbed.loopback import make_loopback_address
@@ -25,19 +24,6 @@
 DRAIN_TIMEOUT_MS = 20_000
 
 
-_allocated_ports = set()
-
-
-def free_port():
-    # The kernel may return a port again that a test has not bound yet.
-    while True:
-        with socket.create_server(("127.0.0.1", 0)) as sock:
-            port = sock.getsockname()[1]
-        if port not in _allocated_ports:
-            _allocated_ports.add(port)
-            return port
-
-
 class RecordingHandler(http.server.BaseHTTPRequestHandler):
     """Echoes the request's body, or returns its port; records each request."""
 
@@ -110,9 +96,9 @@
         document = {
             "instance": {"zone": "zone-a", "region": "north"},
             "listen": {
-                name: make_loopback_address() for name in ("peers", "gossip", "admin")
-            }
-            | {"callers": f"127.0.0.1:{free_port()}"},
+                name: make_loopback_address()
+                for name in ("callers", "peers", "gossip", "admin")
+            },
             "backend": {
                 "address": f"127.0.0.1:{backend_port}",
                 "service": "catalog",
@@ -162,7 +148,7 @@
 
     def __init__(self, store_address):
         clock = SystemClock()
-        address = make_loopback_address()
+        address = Address(make_loopback_address())
         options = {"cluster_key": b"k" * 32, "max_frame_bytes": 1_000_000}
         self.instance = f"{address}/1"
         self.transport = Transport(clock=clock, **options)
@@ -178,7 +164,7 @@
         )
         processor = ClaimsProcessor(self.claims.handler)
         self.server = Server(
-            address=(address.rpartition(":")[0], int(address.rpartition(":")[2])),
+            address=(address.host, address.port),
             processors_by_service={CLAIMS_SERVICE: processor},
             worker_threads=16,
             **options,
@@ -224,7 +210,7 @@
 
     def warm(daemon):
         deadline_s = time.monotonic() + 10
-        url = f"http://127.0.0.1:{daemon.callers.port}/"
+        url = f"http://{daemon.callers.address}/"
         while daemon.load.current.state != "ready":
             assert time.monotonic() < deadline_s
             assert urllib3.request("GET", url, retries=False, timeout=5).status == 200
--- a/packages/vanillapitch-daemon/tests/test_crashes.py
+++ b/packages/vanillapitch-daemon/tests/test_crashes.py
@@ -49,7 +49,7 @@
 
 
 def send(daemon, path):
-    url = f"http://127.0.0.1:{daemon.callers.port}{path}"
+    url = f"http://{daemon.callers.address}{path}"
     # With the service's name as host, a request has the same fingerprint at each
     # daemon.
     return urllib3.request(
--- a/packages/vanillapitch-daemon/tests/test_decisions.py
+++ b/packages/vanillapitch-daemon/tests/test_decisions.py
@@ -21,7 +21,7 @@
 
 
 def send(daemon, method="GET", path="/", **options):
-    url = f"http://127.0.0.1:{daemon.callers.port}{path}"
+    url = f"http://{daemon.callers.address}{path}"
     return urllib3.request(method, url, retries=False, timeout=5, **options)
 
 
--- a/packages/vanillapitch-daemon/tests/test_fleet.py
+++ b/packages/vanillapitch-daemon/tests/test_fleet.py
@@ -126,7 +126,7 @@
 
 def send_requests(daemon):
     with urllib3.PoolManager(retries=False, timeout=10) as pool:
-        address = f"http://127.0.0.1:{daemon.callers.port}/"
+        address = f"http://{daemon.callers.address}/"
         return [pool.request("GET", address) for _ in range(30)]
 
 
--- a/packages/vanillapitch-daemon/tests/test_keyed.py
+++ b/packages/vanillapitch-daemon/tests/test_keyed.py
@@ -35,7 +35,7 @@
         def send(daemon, body=b"violin", timeout_ms=5_000, path="/reserve"):
             return pool.request(
                 "POST",
-                f"http://127.0.0.1:{daemon.callers.port}{path}",
+                f"http://{daemon.callers.address}{path}",
                 body=body,
                 headers={
                     "Idempotency-Key": key,
--- a/packages/vanillapitch-daemon/tests/test_observability.py
+++ b/packages/vanillapitch-daemon/tests/test_observability.py
@@ -48,7 +48,7 @@
     # The ingress does not know the state yet: it picks this owner, is refused and
     # retries.
     other.admission.ask(SetState(state="leaving"))
-    url = f"127.0.0.1:{daemon.callers.port}"
+    url = daemon.callers.address
     calls = 0
     while not metric(daemon, 'retries_total{reason="not_run"}') and calls < 200:
         assert call(url, "/").status == 200
@@ -72,7 +72,7 @@
     # and against refusals after it has announced that it is ready again.
     backend = make_backend()
     (daemon,) = make_daemons(backend.server_port)
-    callers = f"127.0.0.1:{daemon.callers.port}"
+    callers = daemon.callers.address
     status = daemon.node.status()
     assert (status.state, status.endpoint_state) == ("alive", "cold")
     daemon.node.announce(BackendState.LEAVING)
@@ -200,7 +200,7 @@
     daemon.snapshot.replace(tables)
     start_daemon(daemon)
     try:
-        url = f"http://127.0.0.1:{daemon.callers.port}/"
+        url = f"http://{daemon.callers.address}/"
         refused = urllib3.request("GET", url, retries=False, timeout=5)
         daemon.node.announce(BackendState.READY)
         accepted = urllib3.request("GET", url, retries=False, timeout=5)
--- a/packages/vanillapitch-daemon/tests/test_path.py
+++ b/packages/vanillapitch-daemon/tests/test_path.py
@@ -17,11 +17,16 @@
 
 
 def url(daemon, path="/"):
-    return f"http://127.0.0.1:{daemon.callers.port}{path}"
+    return f"http://{daemon.callers.address}{path}"
+
+
+def connect(daemon):
+    host, _, port = daemon.callers.address.rpartition(":")
+    return socket.create_connection((host, int(port)), 5)
 
 
 def exchange_raw(daemon, message):
-    with socket.create_connection(("127.0.0.1", daemon.callers.port), 5) as sock:
+    with connect(daemon) as sock:
         sock.sendall(message)
         received = b""
         while chunk := sock.recv(65_536):
@@ -154,7 +159,7 @@
         make_backend().server_port, max_body_bytes=1_000, max_total_body_bytes=1_500
     )
     head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"
-    with socket.create_connection(("127.0.0.1", ingress.callers.port), 5) as slow:
+    with connect(ingress) as slow:
         slow.sendall(head)
         time.sleep(0.2)
         refused = http_pool.request("POST", url(ingress), body=b"x" * 1_000)
@@ -188,7 +193,7 @@
             cancelled.set()
 
     (ingress,) = make_daemons(make_backend(behave=wait_for_close).server_port)
-    with socket.create_connection(("127.0.0.1", ingress.callers.port), 5) as sock:
+    with connect(ingress) as sock:
         sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         time.sleep(0.2)
     assert cancelled.wait(5)
@@ -215,42 +220,25 @@
 
 
 @pytest.fixture
-def serve_raw():
+def serve_raw(serve_connections):
     """Return a function that starts a backend server and returns its port.
 
     It reads the head of each connection's first request and calls the given function
     with the connection and the first line.
     """
-    listeners = []
 
     def start(respond):
-        listener = socket.create_server(("127.0.0.1", 0))
-        listeners.append(listener)
-
-        def serve_connection(connection):
-            with connection, connection.makefile("rb") as request:
+        def serve(connection):
+            with connection.makefile("rb") as request:
                 if line := request.readline():
                     while request.readline() != b"\r\n":
                         pass
                     with contextlib.suppress(OSError):
                         respond(connection, line)
 
-        def serve():
-            while True:
-                try:
-                    connection, _ = listener.accept()
-                except OSError:
-                    return
-                threading.Thread(
-                    target=serve_connection, args=(connection,), daemon=True
-                ).start()
-
-        threading.Thread(target=serve, daemon=True).start()
-        return listener.getsockname()[1]
-
-    yield start
-    for listener in listeners:
-        listener.close()
+        return serve_connections(serve)[1]
+
+    return start
 
 
 @pytest.mark.parametrize(
--- a/packages/vanillapitch-testbed/tests/test_callers.py
+++ b/packages/vanillapitch-testbed/tests/test_callers.py
@@ -1,8 +1,5 @@
 """Tests of the callers of the testbed."""
 
-import socket
-import threading
-
 import pytest
 import urllib3
 from vanillapitch_testbed.callers import Call, send
@@ -16,20 +13,15 @@
         (b"", "connection_lost", ""),
     ],
 )
-def test_a_cut_response_is_told_from_a_lost_connection(response, code, fault):
+def test_a_cut_response_is_told_from_a_lost_connection(
+    serve_connections, response, code, fault
+):
     # Guards against a check of complete responses that never sees an incomplete one.
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-
-        def serve():
-            connection, _ = listener.accept()
-            with connection:
-                connection.recv(65_536)
-                connection.sendall(response)
+    def serve(connection):
+        connection.recv(65_536)
+        connection.sendall(response)
 
-        server = threading.Thread(target=serve)
-        server.start()
-        call = Call(service="catalog", method="GET", target="/a")
-        address = f"127.0.0.1:{listener.getsockname()[1]}"
-        send(urllib3.PoolManager(), call, address=address, timeout_ms=2_000)
-        server.join()
+    address = "{}:{}".format(*serve_connections(serve))
+    call = Call(service="catalog", method="GET", target="/a")
+    send(urllib3.PoolManager(), call, address=address, timeout_ms=2_000)
     assert (call.code, call.fault) == (code, fault)
