Share the drawing of seeded examples between the listeners' tests

Two tests drew a list of examples for one fleet, each with its own copy of the same function. One fixture draws them. The examples of the relay's test differ from before, since hypothesis derives them from the drawing function; their number and the checks are the same. A comment of the recorder is made clear.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 import urllib3
+from hypothesis import HealthCheck, given, settings
 from vanillapitch_core.exceptions import TableError
 from vanillapitch_core.tables import Pool, Route, Tables, check_tables
 from vanillapitch_daemon.admin import (
@@ -216,6 +217,29 @@
     admin.server.stop()
 
 
+@pytest.fixture
+def draw_examples():
+    """Return a function that draws seeded examples, so that one fleet gets them all."""
+
+    def collect(strategy, count):
+        drawn = []
+
+        @settings(
+            max_examples=count,
+            deadline=None,
+            derandomize=True,
+            suppress_health_check=list(HealthCheck),
+        )
+        @given(example=strategy)
+        def draw(example):
+            drawn.append(example)
+
+        draw()
+        return drawn
+
+    return collect
+
+
 @pytest.fixture
 def serve_connections():
     """Return a function that serves each connection with a function, on a thread.
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/claims/_recorder.py
@@ -67,7 +67,7 @@
         self._count_event = count_event
         self._changed = threading.Condition()
         self._pending: list[_Pending] = []
-        # Ends that are due are being sent; the limits cover both.
+        # Ends being sent; the limits cover them as well as the pending ones.
         self._sending_by_id: dict[str, _Pending] = {}
         self._held_bytes = 0
         self._stopping = False
--- a/packages/vanillapitch-daemon/tests/test_hostile_input.py
+++ b/packages/vanillapitch-daemon/tests/test_hostile_input.py
@@ -6,7 +6,6 @@
 
 import pytest
 import urllib3
-from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from vanillapitch_wire.handshake import start_handshake
 
@@ -48,24 +47,6 @@
 )
 
 
-def collect(strategy, count):
-    """Draw seeded examples, so that one daemon can receive all of them."""
-    drawn = []
-
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    @given(strategy)
-    def draw(example):
-        drawn.append(example)
-
-    draw()
-    return drawn
-
-
 def send(address, messages, *, is_authenticated=False):
     for message in messages:
         with socket.create_connection((address.host, address.port), 5) as sock:
@@ -86,20 +67,22 @@
 @pytest.mark.parametrize(
     "name", ["callers", "admin", "peers", "authenticated", "gossip"]
 )
-def test_random_bytes_at_a_listener_end_no_thread(make_backend, make_daemons, name):
+def test_random_bytes_at_a_listener_end_no_thread(
+    make_backend, make_daemons, draw_examples, name
+):
     # Guards against a malformed message that ends a thread of the daemon, which then
     # listens but no longer accepts, answers or spreads anything.
     (daemon,) = make_daemons(make_backend().server_port)
     listen = daemon.node._settings.listen
     threads = set(threading.enumerate())
     if name == "gossip":
-        send_datagrams(listen.gossip, collect(st.binary(max_size=300), 150))
+        send_datagrams(listen.gossip, draw_examples(st.binary(max_size=300), 150))
     elif name == "authenticated":
-        send(listen.peers, collect(FRAMES, 150), is_authenticated=True)
+        send(listen.peers, draw_examples(FRAMES, 150), is_authenticated=True)
     elif name == "peers":
-        send(listen.peers, collect(FRAMES, 150))
+        send(listen.peers, draw_examples(FRAMES, 150))
     else:
-        send(getattr(listen, name), collect(HTTP, 150))
+        send(getattr(listen, name), draw_examples(HTTP, 150))
     assert {thread.name for thread in threads if not thread.is_alive()} == set()
     with urllib3.PoolManager(retries=False, timeout=5) as pool:
         response = pool.request("GET", f"http://{listen.callers}/")
--- a/packages/vanillapitch-relay/tests/test_faulty_peers.py
+++ b/packages/vanillapitch-relay/tests/test_faulty_peers.py
@@ -260,19 +260,6 @@
     writer.transport.abort()
 
 
-def collect(strategy, examples):
-    """Draw seeded examples, so that one fleet can receive all of them."""
-    drawn = []
-
-    @fuzz(examples)
-    @given(example=strategy)
-    def draw(example):
-        drawn.append(example)
-
-    draw()
-    return drawn
-
-
 HTTP_PARTS = st.sampled_from(
     [
         b"GET /shop/a HTTP/1.1\r\n",
@@ -305,10 +292,12 @@
         ("peer_address", FRAME_BYTES),
     ],
 )
-def test_random_bytes_at_a_listener_end_no_daemon(run_fleet, listener, strategy):
+def test_random_bytes_at_a_listener_end_no_daemon(
+    run_fleet, draw_examples, listener, strategy
+):
     # Guards against a malformed message that stops a daemon, breaks its links to others
     # or changes what they report.
-    messages = collect(strategy, 150)
+    messages = draw_examples(strategy, 150)
 
     async def scenario(fleet):
         vm = fleet.vms[0]
