Keep the order of answers when a response cannot be written

What callers saw: an endpoint spoiled a byte of the first line of a response, and the callers of pipelined requests behind it got the answers to each other's requests (MIXED); the request itself never got one.

Cause: h11 accepts bytes above 127 in a reason phrase. The phrase was decoded as Latin-1 and encoded as ASCII, and the exchange left the queue of its connection before that. Only LocalProtocolError was handled, so the UnicodeEncodeError ended the task, and the next response took the place. Nothing logged it.

Change: the phrase is encoded as it was decoded. A response whose encoding fails for any reason is replaced by one 502 in its place (log line response_unwritable, gauge responses_unwritable), and an unexpected error while responses are sent aborts the connection with what is behind it.

Ruled out: a response matched to another request on the endpoint's connection (the owners' lines have the right status for each id), and an order of completion (none out of place without spoiled bytes).

The 5 tests of test_response_order.py failed before and pass.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -379,6 +379,9 @@
         )
         self._metrics.set_gauge("links", len(self._hub.links_by_node))
         self._metrics.set_gauge("log_lines_dropped", self._writer.dropped)
+        self._metrics.set_gauge(
+            "responses_unwritable", self._callers.unwritable_responses
+        )
         self._metrics.set_gauge("store_timeline", self._timeline.number or 0)
         self._metrics.set_gauge("revision", self._configuration.changed_revision)
         body = self._metrics.render()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -52,6 +52,8 @@
         Open connections.
     stopping : bool
         Whether to close each connection after its next response.
+    unwritable_responses : int
+        Responses that could not be written and were replaced by 502.
     may_pipeline : callable
         Returns whether a request may be handled before earlier ones of its connection
         are answered.
@@ -64,6 +66,7 @@
     may_pipeline: Callable[[HttpRequest], bool] = lambda request: True
     connections: set["CallerConnection"] = dataclasses.field(default_factory=set)
     stopping: bool = False
+    unwritable_responses: int = 0
 
     def end_reading(self) -> None:
         """Stop reading requests; close each connection after its pending responses."""
@@ -131,12 +134,7 @@
         self._body_bytes = 0
         if self._timer is not None:
             self._timer.cancel()
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-            else:
-                self._release(exchange)
-        self._exchanges.clear()
+        self._drop_exchanges()
 
     def eof_received(self) -> bool:
         """Close the connection; a caller that half-closes it counts as disconnected."""
@@ -290,7 +288,30 @@
         self._state.body_budget.release(exchange.body_bytes)
         exchange.body_bytes = 0
 
+    def _drop_exchanges(self) -> None:
+        """Cancel and drop all pending requests."""
+        for exchange in self._exchanges:
+            if exchange.task is not None:
+                exchange.task.cancel()
+            else:
+                self._release(exchange)
+        self._exchanges.clear()
+
     def _send_responses(self) -> None:
+        """Send the responses that are due; abort the connection if that fails.
+
+        Callers match responses to requests by their order, so none may follow one that
+        was lost.
+        """
+        try:
+            self._send_responses_in_order()
+        except Exception:
+            _log.error("connection_broke", caller=self._peer_host)
+            self._reading_ended = True
+            self._drop_exchanges()
+            self.abort()
+
+    def _send_responses_in_order(self) -> None:
         while self._exchanges and self._exchanges[0].response is not None:
             if self._closed:
                 return
@@ -321,44 +342,22 @@
         return self._reading_ended and not self._exchanges
 
     def _write_response(self, exchange: _Exchange, *, close: bool) -> None:
-        response = exchange.response
-        headers = strip_hop_headers(response.headers)
-        is_head = exchange.request is not None and exchange.request.method == "HEAD"
-        has_body = response.status not in (204, 304)
-        if is_head:
-            length = find_header(response.headers, b"content-length")
-            if length is not None:
-                headers.append((b"content-length", length))
-        elif has_body:
-            headers.append((b"content-length", str(len(response.body)).encode()))
-        if close:
-            headers.append((b"connection", b"close"))
+        """Write a response, or 502 in place of one that cannot be written as HTTP."""
         try:
-            event = h11.Response(
-                status_code=response.status, reason=response.phrase, headers=headers
-            )
-        except h11.LocalProtocolError as error:
-            # The endpoint's response cannot be written as HTTP. The request may have
-            # been executed, so the status must not promise the opposite.
-            _log.warning("response_invalid", reason=str(error))
+            data = _encode_response(exchange, close=close)
+        except Exception:
+            # The request may have been executed, so the status must not promise the
+            # opposite.
+            _log.error("response_unwritable", status=exchange.response.status)
+            self._state.unwritable_responses += 1
             exchange.response = make_response(502, b'{"code":"answer_invalid"}')
-            self._write_response(exchange, close=close)
-            return
-        parts = [exchange.parser.send(event)]
-        if response.body and has_body and not is_head:
-            parts.append(exchange.parser.send(h11.Data(data=response.body)))
-        parts.append(exchange.parser.send(h11.EndOfMessage()) or b"")
-        self._transport.write(b"".join(parts))
+            data = _encode_response(exchange, close=close)
+        self._transport.write(data)
 
     def _close_after_response(self) -> None:
         """Close after the last response; cancel and drop the requests after it."""
         self._reading_ended = True
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-            else:
-                self._release(exchange)
-        self._exchanges.clear()
+        self._drop_exchanges()
         self._in_message = False
         self._close_gracefully()
 
@@ -411,3 +410,29 @@
             self._transport.abort()
         with contextlib.suppress(RuntimeError):
             self._arm_timer()
+
+
+def _encode_response(exchange: _Exchange, *, close: bool) -> bytes:
+    response = exchange.response
+    headers = strip_hop_headers(response.headers)
+    is_head = exchange.request is not None and exchange.request.method == "HEAD"
+    has_body = response.status not in (204, 304)
+    if is_head:
+        length = find_header(response.headers, b"content-length")
+        if length is not None:
+            headers.append((b"content-length", length))
+    elif has_body:
+        headers.append((b"content-length", str(len(response.body)).encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    event = h11.Response(
+        status_code=response.status,
+        # Endpoints may use bytes above 127 in the phrase (obs-text of RFC 9112).
+        reason=response.phrase.encode("latin-1"),
+        headers=headers,
+    )
+    parts = [exchange.parser.send(event)]
+    if response.body and has_body and not is_head:
+        parts.append(exchange.parser.send(h11.Data(data=response.body)))
+    parts.append(exchange.parser.send(h11.EndOfMessage()) or b"")
+    return b"".join(parts)
--- /dev/null
+++ b/packages/vanillapitch-relay/tests/test_response_order.py
@@ -0,0 +1,196 @@
+"""Responses that are hard to write, and the order of those behind them."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from vanillapitch_core.clock import SystemClock
+from vanillapitch_relay import http_server
+from vanillapitch_relay.body_budget import BodyBudget
+from vanillapitch_relay.exceptions import RelayError
+from vanillapitch_relay.http_client import HttpConnection, HttpRequest, HttpResponse
+from vanillapitch_relay.http_server import CallerConnection, ServerState
+from vanillapitch_relay.model import ClientLimits
+from vanillapitch_testbed.platform_standins import send_pipelined
+
+LIMITS = ClientLimits(
+    max_header_bytes=16_384,
+    max_body_bytes=1_000_000,
+    header_timeout_ms=3_000.0,
+    idle_timeout_ms=15_000.0,
+)
+ID = b"x-vanillapitch-attempt-id"
+
+
+class _Transport:
+    """Transport that keeps what is written."""
+
+    def __init__(self):
+        self.written = b""
+        self.closing = False
+
+    def write(self, data):
+        self.written += data
+
+    def write_eof(self):
+        pass
+
+    def is_closing(self):
+        return self.closing
+
+    def abort(self):
+        self.closing = True
+
+    close = abort
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def get_extra_info(self, name, default=None):
+        return default
+
+
+def serve(handle, requests):
+    """Return what a caller connection writes for raw requests, and its state."""
+
+    async def body():
+        state = ServerState(
+            handle=handle,
+            limits=lambda: LIMITS,
+            clock=SystemClock(),
+            body_budget=BodyBudget(limit_bytes=1_000_000),
+        )
+        transport = _Transport()
+        connection = CallerConnection(state=state)
+        connection.connection_made(transport)
+        connection.data_received(requests)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        connection.connection_lost(None)
+        return transport, state
+
+    return asyncio.run(body())
+
+
+def encode_requests(*targets):
+    """Encode requests without a body."""
+    return b"".join(
+        b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target.encode() for target in targets
+    )
+
+
+async def read_response(reader):
+    """Return the status line, the id and the body of the next response."""
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+    line, *fields = head.lower().split(b"\r\n")[:-2]
+    headers = dict(field.split(b": ", 1) for field in fields)
+    body = await reader.readexactly(int(headers[b"content-length"]))
+    return line, headers.get(ID), body
+
+
+@pytest.mark.parametrize("spoiled", [1, 3])
+def test_a_spoiled_phrase_takes_no_response_from_its_place(run_fleet, spoiled):
+    # Guards against callers that get the answers to other requests, because the answer
+    # before them has a byte above 127 in its reason phrase and cannot be written.
+    async def scenario(fleet):
+        faults = fleet.vms[2].endpoint.faults
+        faults.response, faults.count = "high_phrase", spoiled
+        reader, writer = await send_pipelined(
+            fleet.vms[0].settings.caller_address,
+            [f"/stock/p?work_ms={10 + 40 * n}" for n in range(3)],
+            deadline_ms=2_000,
+        )
+        responses = [await read_response(reader) for _ in range(3)]
+        writer.close()
+        return responses
+
+    lines, ids, bodies = zip(*run_fleet(scenario), strict=True)
+    assert [line.split(b" ", 2)[1] for line in lines] == [b"200"] * 3
+    assert list(ids) == [b"p0", b"p1", b"p2"]
+    assert list(bodies) == [f"answer to p{n}".encode() * 10 for n in range(3)]
+
+
+def test_a_response_that_cannot_be_written_is_one_true_failure():
+    # Guards against a response whose encoding fails: its caller gets none, and the next
+    # response is taken for it. 502 does not state that the request was not executed.
+    async def handle(request, arrived_ms, host):
+        phrase = "\u20ac" if request.target == "/1" else "OK"
+        return HttpResponse(
+            status=200, phrase=phrase, headers=[], body=request.target.encode()
+        )
+
+    transport, state = serve(handle, encode_requests("/0", "/1", "/2"))
+    first, second, third = transport.written.split(b"HTTP/1.1 ")[1:]
+    assert first.endswith(b"/0")
+    assert second.startswith(b"502 ")
+    assert second.endswith(b'{"code":"answer_invalid"}')
+    assert third.endswith(b"/2")
+    assert state.unwritable_responses == 1
+
+
+def test_no_response_follows_one_that_was_lost(monkeypatch):
+    # Guards against later responses in the place of one that an unexpected error lost,
+    # whatever the error is.
+    async def handle(request, arrived_ms, host):
+        return HttpResponse(
+            status=200, phrase="OK", headers=[], body=request.target.encode()
+        )
+
+    strip = http_server.strip_hop_headers
+    calls = []
+
+    def break_from_the_second(headers):
+        calls.append(headers)
+        if len(calls) in (2, 3):
+            raise RuntimeError("an unexpected error")
+        return strip(headers)
+
+    monkeypatch.setattr(http_server, "strip_hop_headers", break_from_the_second)
+    transport, _ = serve(handle, encode_requests("/0", "/1", "/2"))
+    assert transport.written.endswith(b"/0")
+    assert transport.closing
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    phrase=st.binary(max_size=12),
+    value=st.binary(max_size=12),
+    status=st.integers(100, 999),
+    body=st.binary(max_size=20),
+)
+def test_what_the_client_reads_the_server_writes(phrase, value, status, body):
+    # Guards against a response that the reading side accepts and the writing side does
+    # not: the caller must get it, or one failure in its place, and then the next one.
+    raw = b"HTTP/1.1 %d %s\r\n%s: 1\r\nX-Any: %s\r\nContent-Length: %d\r\n\r\n%s" % (
+        (status, phrase, ID, value, len(body), body)
+    )
+
+    async def handle(request, arrived_ms, host):
+        connection = HttpConnection(echo_header=ID)
+        connection.connection_made(_Transport())
+        task = asyncio.ensure_future(
+            connection.exchange(
+                HttpRequest(
+                    method="GET",
+                    target="/",
+                    headers=[(b"host", b"h")],
+                    request_id=b"1",
+                )
+            )
+        )
+        await asyncio.sleep(0)
+        connection.data_received(raw)
+        connection.connection_lost(None)
+        try:
+            return await task
+        except RelayError:
+            return HttpResponse(status=502, phrase="Bad", headers=[], body=b"broken")
+
+    transport, _ = serve(handle, encode_requests("/0", "/1"))
+    heads = [
+        part for part in transport.written.split(b"HTTP/1.1 ") if part[:3].isdigit()
+    ]
+    assert len(heads) >= 2
+    assert {int(head[:3]) for head in heads} <= {status, 502}
+    assert not transport.closing
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -47,7 +47,8 @@
         ``unframed_reset`` (the same, but reset halfway), ``garbage``, ``shed`` (refused
         without an execution), ``refusal_again`` (the last refusal on the connection
         arrives first), ``copy_later`` (a copy follows after 30 ms), ``error`` (500),
-        ``encoded`` (with ``Content-Encoding``), or one of `_ENDLESS_PARTS`.
+        ``encoded`` (with ``Content-Encoding``), ``high_phrase`` (a byte above 127 in
+        the reason phrase), or one of `_ENDLESS_PARTS`.
     count : int
         Number of responses with the fault; later ones are ``whole``.
     unhealthy : bool
@@ -349,6 +350,9 @@
         if fault in ("whole", "refusal_again"):
             writer.write(complete)
             return True
+        if fault == "high_phrase":
+            writer.write(complete.replace(b" 200 S", b" 200 \xd3", 1))
+            return True
         if fault == "copy_later":
             writer.write(complete)
             asyncio.get_running_loop().call_later(0.03, writer.write, complete)
