Write an acknowledged departure until the store confirms it

What callers saw: an endpoint deregistered while the store was down for 0.8 s, and its daemon acknowledged that.

Cause: the write was tried once per message and never again. A draining endpoint repeats its message, but one that deregisters says so once. Departures seen in a response had a loop of their own, announced ones had none.

Change: one task per daemon owns the departure that the store has not confirmed and writes it every 0.7 to 1 s until it has. Announcements, responses and restores of the store all hand it over; an acknowledgement waits for the first attempt, for 500 ms at most, as before. There is one call per attempt, where a draining endpoint caused one more for each of its messages.

Ruled out: a refused write (no call was made after the store was back) and a record that the next process read but did not apply (there was none in the store).

The four cases of test_a_departure_acknowledged_during_an_outage_is_stored failed before and pass.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/announcements.py
@@ -1,12 +1,8 @@
 """Receives announcements from the endpoint on this VM."""
 
-import asyncio
-import random
 from collections.abc import Callable
 
-from vanillapitch_store.exceptions import StoreError
-
-from vanillapitch_relay.departure_store import DepartureRecord, DepartureStore
+from vanillapitch_relay.departure_keeper import DepartureKeeper
 from vanillapitch_relay.endpoint_state import (
     AnnouncementVerdict,
     apply_announcement,
@@ -23,12 +19,6 @@
 
 _log = EventLog(part="announcements")
 
-# The endpoint times out after 1 s, so the acknowledgement waits no longer than this for
-# the store. If the store does not confirm, the departure is kept in memory only.
-STORE_TIMEOUT_MS = 500.0
-# Failed calls are billed too.
-STORE_RETRY_INTERVAL_MS = 1_000.0
-
 
 class AnnouncementReceiver:
     """Applies and acknowledges the announcements of the endpoint.
@@ -39,7 +29,7 @@
         Owner whose endpoint announces itself.
     dialect : Dialect
         Decoder of announcements.
-    departures : DepartureStore
+    departures : DepartureKeeper
         Persists acknowledged departures.
     endpoint_address : str
         Address of the endpoint on this VM.
@@ -52,7 +42,7 @@
         *,
         owner: Owner,
         dialect: Dialect,
-        departures: DepartureStore,
+        departures: DepartureKeeper,
         endpoint_address: str,
         request_health_check: Callable[[], None],
     ):
@@ -107,7 +97,7 @@
             self._request_health_check()
         self._owner.refresh()
         if observed.leaving:
-            await self.store_departure()
+            await self._keep_departure()
         return verdict is not AnnouncementVerdict.OTHER_INCARNATION
 
     async def _apply_departure(self, departure: Departure) -> None:
@@ -120,30 +110,8 @@
             )
             return
         self._owner.refresh()
-        await self.store_departure()
+        await self._keep_departure()
 
-    async def keep_storing_departure(self) -> None:
-        """Persist that the endpoint leaves; retry while it does."""
-        while self._owner.parts.observed.leaving and not await self.store_departure():
-            delay_ms = STORE_RETRY_INTERVAL_MS * random.uniform(0.7, 1.0)
-            await asyncio.sleep(delay_ms / 1_000.0)
-
-    async def store_departure(self) -> bool:
-        """Persist that the endpoint leaves; return whether the store holds it."""
-        observed = self._owner.parts.observed
-        record = DepartureRecord(
-            instance=observed.left_instance,
-            born_ms=observed.left_born_ms,
-            stored_ms=self._owner.parts.clock.wall_ms(),
-        )
-        try:
-            async with asyncio.timeout(STORE_TIMEOUT_MS / 1_000.0):
-                is_written = await self._departures.write(record)
-        except (StoreError, TimeoutError) as error:
-            _log.warning(
-                "departure_not_stored", instance=record.instance, reason=repr(error)
-            )
-            return False
-        if is_written:
-            _log.info("departure_stored", instance=record.instance)
-        return True
+    async def _keep_departure(self) -> None:
+        self._departures.keep()
+        await self._departures.wait_for_attempt()
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -15,6 +15,7 @@
 from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.configuration_follower import ConfigurationFollower
 from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.departure_keeper import DepartureKeeper
 from vanillapitch_relay.departure_store import DepartureRecord, DepartureStore
 from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.endpoint_monitor import EndpointMonitor
@@ -182,7 +183,7 @@
             ),
             request_health_check=self._request_health_check,
             await_health_check=self._await_health_check,
-            store_departure=self._start_storing_departure,
+            store_departure=self._keep_departure,
         )
         self._hub.owner = self._owner
         self._hub.quarantine = self._quarantine
@@ -212,6 +213,11 @@
             clock=clock,
             reachability=self._reachability,
         )
+        self._keeper = DepartureKeeper(
+            observed=self._owner.parts.observed,
+            departures=self._departures,
+            clock=clock,
+        )
         for on_restore in (
             self._registration.on_store_restored,
             self._follower.on_store_restored,
@@ -235,7 +241,7 @@
         self._receiver = AnnouncementReceiver(
             owner=self._owner,
             dialect=dialect,
-            departures=self._departures,
+            departures=self._keeper,
             endpoint_address=settings.endpoint_address,
             request_health_check=self._request_health_check,
         )
@@ -245,7 +251,6 @@
         )
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task] = []
-        self._departure_tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Serve until a stop signal, then finish the requests in flight."""
@@ -297,6 +302,7 @@
         for name, run in (
             ("store", self._use_store),
             ("monitor", self._monitor.run),
+            ("departures", self._keeper.run),
             ("maintenance", self._run_maintenance),
         ):
             self._tasks.append(loop.create_task(_run_supervised(name, run)))
@@ -414,14 +420,10 @@
     def _on_store_restored(self) -> None:
         self._departures.forget()
         if self._owner.parts.observed.leaving:
-            self._start_storing_departure()
+            self._keep_departure()
 
-    def _start_storing_departure(self) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._receiver.keep_storing_departure()
-        )
-        self._departure_tasks.add(task)
-        task.add_done_callback(self._departure_tasks.discard)
+    def _keep_departure(self) -> None:
+        self._keeper.keep()
 
     async def _use_store(self) -> None:
         """Read the store once, then stay registered and follow changes."""
@@ -431,7 +433,7 @@
             for name, run in (
                 ("registration", lambda: self._registration.run(start)),
                 ("follower", lambda: self._follower.run(start)),
-                ("departures", lambda: self._departures.remove_expired(start.entries)),
+                ("expiry", lambda: self._departures.remove_expired(start.entries)),
             ):
                 group.create_task(_run_supervised(name, run))
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/departure_store.py
@@ -44,6 +44,11 @@
     born_ms: int
     stored_ms: int
 
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Instance and start time, which identify the departure."""
+        return self.instance, self.born_ms
+
 
 class DepartureStore:
     """Reads and writes the departure record of one VM.
@@ -100,7 +105,7 @@
             if entry.key == self._key:
                 self._revision = entry.mod_revision
                 record = _decode(entry)
-                self._stored = None if record is None else _identity(record)
+                self._stored = None if record is None else record.identity
                 return record
         return None
 
@@ -138,7 +143,11 @@
         )
         _log.info("departures_removed", count=len(expired), done=result.succeeded)
 
-    async def write(self, record: DepartureRecord) -> bool:
+    def holds(self, record: DepartureRecord) -> bool:
+        """Return whether the store has confirmed this departure."""
+        return self._stored == record.identity
+
+    async def write(self, record: DepartureRecord) -> None:
         """Store that an endpoint is leaving, unless the store holds this departure.
 
         Parameters
@@ -146,22 +155,15 @@
         record : DepartureRecord
             The departure.
 
-        Returns
-        -------
-        bool
-            Whether the store had to be written.
-
         Raises
         ------
         StoreError
             If the store did not confirm the write.
         """
         async with self._writes:
-            if self._stored == _identity(record):
-                return False
-            await self._put(record)
-            self._stored = _identity(record)
-            return True
+            if not self.holds(record):
+                await self._put(record)
+                self._stored = record.identity
 
     def forget(self) -> None:
         """Forget what the store holds, as it may have lost it."""
@@ -194,10 +196,6 @@
         return 0 if current.entry is None else current.entry.mod_revision
 
 
-def _identity(record: DepartureRecord) -> tuple[str, int]:
-    return record.instance, record.born_ms
-
-
 def _decode(entry: Entry) -> DepartureRecord | None:
     try:
         return decode_json(entry.value, DepartureRecord)
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -8,10 +8,13 @@
     EndpointFaults,
     Refusal,
     ServiceSpec,
+    StoreFaults,
     make_route,
     send_request,
 )
 
+# After the end of an outage, the daemons are in order again within this time.
+CONTACT_S = 3.0
 TWO_ZONES = (ServiceSpec(name="shop", zones=("a", "b"), slots=8),)
 STOCK = ServiceSpec(name="stock", zones=("b",))
 
@@ -113,6 +116,35 @@
     assert executions == []
 
 
+@pytest.mark.parametrize("operation", ["drain", "deregister"])
+@pytest.mark.parametrize("refusal", [Refusal.BUSY, Refusal.SILENT])
+def test_a_departure_acknowledged_during_an_outage_is_stored(
+    run_fleet, operation, refusal
+):
+    # Guards against a departure that is acknowledged while the store is down and never
+    # written when it is back: the next process uses the endpoint again. Of both
+    # operations, the endpoint sends one message only.
+    async def scenario(fleet):
+        vm = fleet.vms[2]
+        vm.endpoint._task.cancel()
+        fleet.store.faults = StoreFaults(refusal=refusal)
+        status = await getattr(vm.endpoint, operation)()
+        await asyncio.sleep(0.3)
+        fleet.store.faults = StoreFaults()
+        await fleet.wait_until(
+            lambda: fleet.store.keys("outgoing/"), timeout_s=CONTACT_S
+        )
+        await fleet.kill_daemon(vm)
+        await fleet.start_daemon(vm)
+        vm.endpoint.state = "ready"
+        await vm.endpoint.announce()
+        await asyncio.sleep(0.3)
+        return status, await fleet.call("/stock/a"), fleet.executions("/stock/")
+
+    status, response, executions = run_fleet(scenario)
+    assert (status, response.status, executions) == (200, 503, [])
+
+
 @pytest.mark.parametrize("operation", ["drain", "leave_unannounced"])
 def test_a_new_incarnation_under_the_same_id_gets_requests(run_fleet, operation):
     # Guards against a departure record that still applies to the next incarnation, as
