Keep a newer acknowledgement when an older departure record is read

What callers would see: a daemon starts while the store is down, its endpoint announces that it leaves, and the store comes back with the record of an earlier endpoint of this VM. The daemon then wrote that earlier departure again instead of its own, so its next process could use the endpoint that had left.

Cause: the record that is read at the start replaced what the process had acknowledged meanwhile.

Change: it is applied only if the process has acknowledged nothing.

Measured: test_an_older_record_does_not_replace_an_acknowledgement failed before (the departure was that of i-0) and passes.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -194,7 +194,8 @@
         Its start time, or -1.
     """
     observed.departures_known = True
-    if not instance:
+    # What this process has acknowledged since is later.
+    if not instance or observed.left_instance:
         return
     observed.left_instance = instance
     observed.left_born_ms = born_ms
--- a/packages/vanillapitch-relay/tests/test_endpoint_state.py
+++ b/packages/vanillapitch-relay/tests/test_endpoint_state.py
@@ -161,6 +161,20 @@
     assert state_of(observed) is EndpointState.LEAVING
 
 
+def test_an_older_record_does_not_replace_an_acknowledgement():
+    # Guards against a process that starts while the store is down, acknowledges a
+    # departure, and then stores the one that it reads in its place.
+    observed = make_observed(departures_known=False)
+    apply_announcement(
+        observed,
+        dataclasses.replace(FIRST, leaving=True, sequence=9),
+        now_ms=0.0,
+    )
+    apply_departure_record(observed, instance="i-0", born_ms=500)
+    assert (observed.left_instance, observed.left_born_ms) == ("i-1", 1_000)
+    assert state_of(observed) is EndpointState.LEAVING
+
+
 def test_a_restarted_daemon_adopts_a_healthy_endpoint():
     # Guards against a healthy endpoint that receives no requests after a restart of the
     # daemon until its next announcement. The stored departure has to be read first.
