Hold departures at other daemons while the store is away

What callers saw: a daemon acknowledged the departure of its endpoint while the store was down and was killed before the store was back.

Cause: the acknowledgement was known to one process alone, while the store and not the other daemons were away.

Change: a departure is sent to two daemons of each availability zone when it is acknowledged, and to each that connects until the store has confirmed it. A daemon that holds one returns it to the process that connects from that VM, which applies it unless it knows a later one, and stores it. Frames have a message for it, so their protocol is version 5.

Ruled out: refusing the acknowledgement until the store is back, as an endpoint that gets none leaves some seconds later all the same.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -15,12 +15,13 @@
 from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.configuration_follower import ConfigurationFollower
 from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.departure_exchange import DepartureExchange
 from vanillapitch_relay.departure_keeper import DepartureKeeper
 from vanillapitch_relay.departure_store import DepartureRecord, DepartureStore
 from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.endpoint_monitor import EndpointMonitor
 from vanillapitch_relay.endpoint_pool import EndpointPool
-from vanillapitch_relay.endpoint_state import ObservedEndpoint, apply_departure_record
+from vanillapitch_relay.endpoint_state import ObservedEndpoint, apply_departures_read
 from vanillapitch_relay.exceptions import SettingsInvalid
 from vanillapitch_relay.http_client import HttpRequest, HttpResponse
 from vanillapitch_relay.http_responses import make_response
@@ -217,6 +218,13 @@
             observed=self._owner.parts.observed,
             departures=self._departures,
             clock=clock,
+            share=self._hub.publish_departure,
+        )
+        self._hub.departures = DepartureExchange(
+            node=settings.node,
+            clock=clock,
+            owed=lambda: self._keeper.owed,
+            on_returned=self._restore_departure,
         )
         for on_restore in (
             self._registration.on_store_restored,
@@ -428,7 +436,12 @@
     async def _use_store(self) -> None:
         """Read the store once, then stay registered and follow changes."""
         start = await self._read_store()
-        self._apply_stored_departure(self._departures.find(start.entries))
+        departure = self._departures.find(start.entries)
+        apply_departures_read(self._owner.parts.observed)
+        if departure is not None:
+            self._restore_departure(departure)
+        self._owner.refresh()
+        self._request_health_check()
         async with asyncio.TaskGroup() as group:
             for name, run in (
                 ("registration", lambda: self._registration.run(start)),
@@ -455,15 +468,10 @@
             )
             return start
 
-    def _apply_stored_departure(self, record: DepartureRecord | None) -> None:
-        """Apply the departure that an earlier process acknowledged, if any."""
-        apply_departure_record(
-            self._owner.parts.observed,
-            instance="" if record is None else record.instance,
-            born_ms=-1 if record is None else record.born_ms,
-        )
+    def _restore_departure(self, record: DepartureRecord) -> None:
+        """Apply a departure that an earlier process on this VM acknowledged."""
+        self._keeper.restore(record)
         self._owner.refresh()
-        self._request_health_check()
 
     async def _run_maintenance(self) -> None:
         while True:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -13,6 +13,7 @@
     "apply_departure",
     "apply_departure_notice",
     "apply_departure_record",
+    "apply_departures_read",
     "apply_health",
     "apply_unreachable",
     "apply_zone_return",
@@ -182,27 +183,28 @@
 def apply_departure_record(
     observed: ObservedEndpoint, *, instance: str, born_ms: int
 ) -> None:
-    """Apply the acknowledged departure that an earlier process stored.
+    """Apply the departure that an earlier process acknowledged last.
 
     Parameters
     ----------
     observed : ObservedEndpoint
         Last known state; changed in place.
     instance : str
-        Instance that left, or empty if none did.
+        Instance that left.
     born_ms : int
         Its start time, or -1.
     """
-    observed.departures_known = True
-    # What this process has acknowledged since is later.
-    if not instance or observed.left_instance:
-        return
     observed.left_instance = instance
     observed.left_born_ms = born_ms
     if observed.instance == instance and observed.born_ms <= max(born_ms, -1):
         observed.leaving = True
 
 
+def apply_departures_read(observed: ObservedEndpoint) -> None:
+    """Record that the departure that the store holds, if any, has been applied."""
+    observed.departures_known = True
+
+
 def apply_health(
     observed: ObservedEndpoint, result: HealthCheckResult, *, now_ms: float
 ) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/hub.py
@@ -9,6 +9,7 @@
     PROTOCOL_VERSION,
     Call,
     Cancel,
+    Departure,
     EndpointReport,
     Hello,
     MemberInfo,
@@ -23,6 +24,8 @@
 )
 
 from vanillapitch_relay.configuration_state import ConfigurationState
+from vanillapitch_relay.departure_exchange import DepartureExchange
+from vanillapitch_relay.departure_store import DepartureRecord
 from vanillapitch_relay.documents import parse_address
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.links import FramedConnection, OwnerLink
@@ -100,6 +103,7 @@
         self.links_by_node: dict[str, OwnerLink] = {}
         self.owner: Owner | None = None
         self.quarantine: Quarantine | None = None
+        self.departures: DepartureExchange | None = None
         self.on_members: Callable[[int], None] = lambda count: None
         self._reachability = reachability
         self._timeline = timeline
@@ -247,6 +251,10 @@
         self._send_to_owners(strike)
         self._send_to_ingresses(strike)
 
+    def publish_departure(self, record: DepartureRecord) -> None:
+        """Have other daemons hold the departure of this daemon's endpoint."""
+        self.departures.share(record, links=self.links_by_node.values())
+
     def publish_revision(self) -> None:
         """Notify all owners immediately that the configuration changed."""
         self._send_to_owners(
@@ -412,6 +420,8 @@
             return
         connection.node = hello.member.node
         connection.send(self.make_hello())
+        for departure in self.departures.list_for(hello.member.node):
+            connection.send(departure)
         self._ensure_link(hello.member)
         self.links_by_node[hello.member.node].redial()
         self._apply_hello(connection, hello)
@@ -452,6 +462,8 @@
             self.quarantine.receive(message, source="peer")
         elif isinstance(message, Members):
             self._receive_members(message)
+        elif isinstance(message, Departure):
+            self.departures.receive(message)
         else:
             _log.warning("message_unexpected", kind=type(message).__name__)
 
--- a/packages/vanillapitch-relay/tests/test_faulty_peers.py
+++ b/packages/vanillapitch-relay/tests/test_faulty_peers.py
@@ -18,6 +18,7 @@
     PROTOCOL_VERSION,
     Call,
     Cancel,
+    Departure,
     EndpointReport,
     FrameDecoder,
     FrameInvalid,
@@ -233,6 +234,7 @@
     st.builds(SnapshotRequest, newer_than=I64),
     st.builds(MembersRequest),
     st.builds(Members, members=st.lists(MEMBERS, max_size=3)),
+    st.builds(Departure, node=TEXT, instance=TEXT, born_ms=I64, stored_ms=I64),
     st.builds(
         Snapshot,
         read_revision=st.integers(-5, 5),
--- a/packages/vanillapitch-wire/idl/relay.thrift
+++ b/packages/vanillapitch-wire/idl/relay.thrift
@@ -106,6 +106,15 @@
   1: required list<MemberInfo> members;
 }
 
+// An acknowledged departure of an endpoint. Its daemon sends it to others, which return it
+// to the next process on that VM.
+struct Departure {
+  1: required string node;        // daemon of the endpoint
+  2: required string instance;
+  3: required i64 born_ms;        // wall time of the endpoint's start; -1: unknown
+  4: required i64 stored_ms;      // wall time of the acknowledgement
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Hello hello;
@@ -120,4 +129,5 @@
   10: optional Strike strike;
   11: optional MembersRequest members_request;
   12: optional Members members;
+  13: optional Departure departure;
 }
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/_gen/relay/ttypes.py
@@ -1654,6 +1654,118 @@
         return not (self == other)
 
 
+class Departure(object):
+    """
+    Attributes:
+     - node
+     - instance
+     - born_ms
+     - stored_ms
+
+    """
+
+    __slots__ = (
+        'node',
+        'instance',
+        'born_ms',
+        'stored_ms',
+    )
+
+
+    def __init__(self, node=None, instance=None, born_ms=None, stored_ms=None,):
+        self.node = node
+        self.instance = instance
+        self.born_ms = born_ms
+        self.stored_ms = stored_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.stored_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Departure')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 2)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 3)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.stored_ms is not None:
+            oprot.writeFieldBegin('stored_ms', TType.I64, 4)
+            oprot.writeI64(self.stored_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node is None:
+            raise TProtocolException(message='Required field node is unset!')
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.stored_ms is None:
+            raise TProtocolException(message='Required field stored_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1669,6 +1781,7 @@
      - strike
      - members_request
      - members
+     - departure
 
     """
 
@@ -1685,10 +1798,11 @@
         'strike',
         'members_request',
         'members',
+        'departure',
     )
 
 
-    def __init__(self, hello=None, call=None, reply=None, cancel=None, ping=None, pong=None, report=None, snapshot_request=None, snapshot=None, strike=None, members_request=None, members=None,):
+    def __init__(self, hello=None, call=None, reply=None, cancel=None, ping=None, pong=None, report=None, snapshot_request=None, snapshot=None, strike=None, members_request=None, members=None, departure=None,):
         self.hello = hello
         self.call = call
         self.reply = reply
@@ -1701,6 +1815,7 @@
         self.strike = strike
         self.members_request = members_request
         self.members = members
+        self.departure = departure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1783,6 +1898,12 @@
                     self.members.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.departure = Departure()
+                    self.departure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1841,6 +1962,10 @@
             oprot.writeFieldBegin('members', TType.STRUCT, 12)
             self.members.write(oprot)
             oprot.writeFieldEnd()
+        if self.departure is not None:
+            oprot.writeFieldBegin('departure', TType.STRUCT, 13)
+            self.departure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1977,6 +2102,14 @@
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [MemberInfo, None], False), None, ),  # 1
 )
+all_structs.append(Departure)
+Departure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born_ms', None, None, ),  # 3
+    (4, TType.I64, 'stored_ms', None, None, ),  # 4
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1992,6 +2125,7 @@
     (10, TType.STRUCT, 'strike', [Strike, None], None, ),  # 10
     (11, TType.STRUCT, 'members_request', [MembersRequest, None], None, ),  # 11
     (12, TType.STRUCT, 'members', [Members, None], None, ),  # 12
+    (13, TType.STRUCT, 'departure', [Departure, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/vanillapitch-wire/src/vanillapitch_wire/relay.py
+++ b/packages/vanillapitch-wire/src/vanillapitch_wire/relay.py
@@ -13,6 +13,7 @@
 from vanillapitch_wire._gen.relay.ttypes import (
     Call,
     Cancel,
+    Departure,
     EndpointReport,
     Frame,
     HeaderField,
@@ -34,6 +35,7 @@
     "PROTOCOL_VERSION",
     "Call",
     "Cancel",
+    "Departure",
     "EndpointReport",
     "Frame",
     "FrameDecoder",
@@ -52,7 +54,7 @@
     "encode_frame",
 ]
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 _LENGTH_BYTES = 4
 # A configuration allows bodies of up to 64 MB; the rest is for the headers.
 MAX_FRAME_BYTES = 65 * 1024 * 1024
@@ -71,6 +73,7 @@
     Strike: "strike",
     MembersRequest: "members_request",
     Members: "members",
+    Departure: "departure",
 }
 Message: TypeAlias = (
     Hello
@@ -85,6 +88,7 @@
     | Strike
     | MembersRequest
     | Members
+    | Departure
 )
 
 
