Ask a new process for more than one announcement while the store is away

What callers would see: a daemon starts while the store cannot be read, a single late announcement of an endpoint that has left arrives before its departure does, and requests reach the endpoint.

Cause: a process took an endpoint as ready as soon as an announcement came and its health check named the instance, whatever the check's status was.

Change: until the store has been read, the check must be good once, or a second announcement come. An endpoint whose check fails falsely is used again after two heartbeats.

Ruled out: waiting for the store, which would keep endpoints out of use for a whole outage.

Measured: test_one_late_announcement_does_not_make_an_endpoint_ready failed before without further evidence, and passes.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -74,6 +74,8 @@
         Monotonic time until which it is cold.
     departures_known : bool
         Whether the departure that an earlier process stored has been read.
+    confirmed : bool
+        Whether the instance was found healthy, or announced itself more than once.
     incarnation : int
         Number of the current incarnation among those that this process knew.
     """
@@ -91,6 +93,7 @@
     answering_instance: str = ""
     cold_until_ms: float = 0.0
     departures_known: bool = False
+    confirmed: bool = False
     incarnation: int = 0
 
 
@@ -145,8 +148,11 @@
     if is_new:
         observed.incarnation += 1
         observed.verified = False
+        observed.confirmed = False
         observed.leaving = _has_left(observed, announcement)
         observed.cold_until_ms = 0.0
+    else:
+        observed.confirmed |= observed.sequence >= 0
     observed.instance = announcement.instance
     observed.service = announcement.service
     observed.born_ms = announcement.born_ms
@@ -229,6 +235,7 @@
         _adopt_identity(observed, result)
         return
     observed.verified = result.instance == observed.instance
+    observed.confirmed |= observed.verified and result.healthy
 
 
 def apply_unreachable(observed: ObservedEndpoint) -> None:
@@ -269,6 +276,9 @@
         return EndpointState.ZONE_OUT
     if not observed.reachable or not observed.verified:
         return EndpointState.DOWN
+    if not observed.departures_known and not observed.confirmed:
+        # A single announcement may be a late one of an endpoint that has left.
+        return EndpointState.UNKNOWN
     if now_ms < observed.cold_until_ms:
         return EndpointState.COLD
     return EndpointState.READY
--- a/packages/vanillapitch-relay/tests/test_endpoint_state.py
+++ b/packages/vanillapitch-relay/tests/test_endpoint_state.py
@@ -163,6 +163,25 @@
     assert state_of(observed) is EndpointState.LEAVING
 
 
+@pytest.mark.parametrize("evidence", ["none", "healthy", "announcement", "store"])
+def test_one_late_announcement_does_not_make_an_endpoint_ready(evidence):
+    # Guards against a new process that cannot read the store yet and takes an endpoint
+    # that has left for ready, because an earlier announcement of it arrives late. Its
+    # health check fails, but that of an endpoint that stays may fail as well.
+    observed = ObservedEndpoint(service="shop")
+    apply_announcement(observed, FIRST, now_ms=0.0)
+    apply_health(observed, dataclasses.replace(HEALTHY, healthy=False), now_ms=0.0)
+    if evidence == "healthy":
+        apply_health(observed, HEALTHY, now_ms=0.0)
+    elif evidence == "announcement":
+        second = dataclasses.replace(FIRST, sequence=FIRST.sequence + 1)
+        apply_announcement(observed, second, now_ms=0.0)
+    elif evidence == "store":
+        apply_departures_read(observed)
+    expected = EndpointState.UNKNOWN if evidence == "none" else EndpointState.READY
+    assert state_of(observed) is expected
+
+
 def test_a_restarted_daemon_adopts_a_healthy_endpoint():
     # Guards against a healthy endpoint that receives no requests after a restart of the
     # daemon until its next announcement. The stored departure has to be read first.
