Notice silent connections to the store within the reconnect time

What callers saw: all open connections to the store went silent without a reset while new ones worked. A route was moved 0.6 s later, and 3 s after the silence all machines still had its requests run by the old service (CONFIG), until 4 to 5 s.

Cause: a watch waited for up to 4 s and 1 s more, whatever the time is after which a daemon must act on the current state again. The read after it went to the connection of the other calls, which was as silent, and could wait for another time-out or behind a call that did.

The read before a watch uses the watch's connection. The simulated store can silence its open connections.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -206,6 +206,7 @@
             keys=dialect.keys,
             configuration=self._configuration,
             reachability=self._reachability,
+            bounds=lambda: self.settings.bounds,
         )
         self._departures = DepartureStore(
             store=store,
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
@@ -7,13 +7,14 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 
 from vanillapitch_store.exceptions import StoreCompacted, StoreError
 from vanillapitch_store.model import Entry, EventKind, PrefixResult, WatchEvent
 
 from vanillapitch_relay.configuration_state import ConfigurationState
 from vanillapitch_relay.line_log import EventLog
-from vanillapitch_relay.model import StoreKeys
+from vanillapitch_relay.model import Bounds, StoreKeys
 from vanillapitch_relay.store_port import AsyncKeyValueStore
 from vanillapitch_relay.store_reachability import StoreReachability
 
@@ -21,9 +22,10 @@
 
 _log = EventLog(part="store")
 
-# A watch whose connection is lost silently is detected when it times out. The time-outs
-# are jittered, so the daemons detect it one after the other.
-WATCH_TIMEOUT_MS = 4_000
+# Share of the reconnect time that a watch waits. A silent connection is noticed when
+# its watch times out; then the store is read and the other daemons are notified.
+WATCH_SHARE = 0.45
+WATCH_TIMEOUT_MIN_MS = 300.0
 # By then the links to the other daemons are up, so each knows whether it is a follower.
 STARTUP_DELAY_MS = 300.0
 # A change must be in force within 2 s after the store recovers. Failed calls are billed
@@ -45,6 +47,8 @@
         Receives the configuration and the zones out of service.
     reachability : StoreReachability
         Records the results of calls to the store.
+    bounds : callable
+        Returns the deployment's bounds.
     """
 
     def __init__(
@@ -54,11 +58,13 @@
         keys: StoreKeys,
         configuration: ConfigurationState,
         reachability: StoreReachability,
+        bounds: Callable[[], Bounds],
     ):
         self._store = store
         self._keys = keys
         self._configuration = configuration
         self._reachability = reachability
+        self._bounds = bounds
         self._entries_by_key: dict[str, Entry] = {}
         self._is_follower = False
         self._follower_event = asyncio.Event()
@@ -121,7 +127,9 @@
                 retry_ms = min(RETRY_DELAY_MAX_MS, 2.0 * retry_ms)
 
     async def _read_all(self) -> int:
-        result = await self._store.get_prefix(self._keys.operator_prefix)
+        result = await self._store.get_prefix(
+            self._keys.operator_prefix, before_watch=True
+        )
         self._must_read = False
         self._reachability.record_response("get_prefix")
         return self._replace_entries(result)
@@ -155,11 +163,14 @@
                 with contextlib.suppress(asyncio.CancelledError, StoreError):
                     await watch
 
+    def _watch_timeout_ms(self) -> float:
+        return max(WATCH_TIMEOUT_MIN_MS, WATCH_SHARE * self._bounds().reconnect_ms)
+
     async def _watch_once(self, revision: int) -> int:
         result = await self._store.watch_prefix(
             self._keys.operator_prefix,
             after_revision=revision,
-            timeout_ms=int(WATCH_TIMEOUT_MS * random.uniform(0.8, 1.0)),
+            timeout_ms=int(self._watch_timeout_ms() * random.uniform(0.8, 1.0)),
         )
         self._reachability.record_response("watch")
         revision = max(revision, result.next_revision)
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/model.py
@@ -313,6 +313,9 @@
     cold_overshoot, cold_slack : float
         In any second, a cold endpoint may receive this multiple of its rate plus this
         number of requests.
+    reconnect_ms : float
+        Time after the end of a fault, such as connections that went silent, within
+        which a daemon must act on the current state of the store.
     """
 
     grace_ms: float
@@ -321,6 +324,7 @@
     retry_window_ms: float
     cold_overshoot: float
     cold_slack: float
+    reconnect_ms: float
 
 
 @_frozen
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/store_port.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/store_port.py
@@ -36,12 +36,13 @@
         """Read one key."""
 
     async def get_prefix(
-        self, prefix: str, *, may_be_stale: bool = False
+        self, prefix: str, *, may_be_stale: bool = False, before_watch: bool = False
     ) -> PrefixResult:
         """Read all keys that start with a prefix, as of the result's revision.
 
         Changes during the read may be included; a watch from that revision delivers
-        them again. A stale read is cheap and may be seconds old.
+        them again. A stale read is cheap and may be seconds old. A read before a watch
+        does not wait for other calls that get no response.
         """
 
     async def watch_prefix(
--- a/packages/vanillapitch-relay/tests/test_retry_budget.py
+++ b/packages/vanillapitch-relay/tests/test_retry_budget.py
@@ -13,6 +13,7 @@
     retry_window_ms=10_000.0,
     cold_overshoot=1.5,
     cold_slack=5.0,
+    reconnect_ms=3_000.0,
 )
 
 
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_store.py
@@ -130,6 +130,7 @@
         self._task: asyncio.Task | None = None
         self._late_writes: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start to serve."""
@@ -153,6 +154,10 @@
             writer.transport.abort()
         self._writers.clear()
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the open connections, without closing them."""
+        self._silent_writers |= self._writers
+
     def put(self, key: str, value: bytes, *, lease_id: int = 0) -> int:
         """Write a key as an operator does; return the revision."""
         self.revision += 1
@@ -285,10 +290,12 @@
             task.add_done_callback(self._late_writes.discard)
             await asyncio.sleep(3600)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        await self._stop_if_silent(writer)
         status, body = await self._dispatch(parts.path, query, request.body)
         if kind == "kv-watch" and self._rejects(request.local_host):
             # The watch started before the fault; it gets no response either.
             await asyncio.sleep(3600)
+        await self._stop_if_silent(writer)
         writer.write(
             encode_response(
                 status,
@@ -301,6 +308,10 @@
         )
         return True
 
+    async def _stop_if_silent(self, writer: asyncio.StreamWriter) -> None:
+        if writer in self._silent_writers:
+            await asyncio.sleep(3600)
+
     def _rejects(self, host: str) -> bool:
         hosts = self.faults.refused_hosts
         return self.faults.refusal is not None and (hosts is None or host in hosts)
