Bound all responses that the threaded daemon is receiving

What callers would see: a backend server answers many requests with bytes that never end. Each may take 16 MB of the daemon's memory until it is refused, without a bound over all, so a daemon with hundreds of connections runs out of memory, and the requests of its other callers end with it.

Cause: the limit on the bytes of all bodies covered requests only.

Change: the same setting, max_total_body_bytes, bounds the responses being received, with a count of their own. A response for which no room is left ends as response_too_large, with the outcome that it ran. The class that counts is now shared by the ingress and the owner.

Measured: test_unfinished_responses_share_a_limit failed before (four of four responses of 0.9 MB were held until the deadline, where 2 MB are allowed) and passes.

--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/assembly.py
@@ -166,6 +166,7 @@
     backend = BackendClient(
         address=(settings.backend.address.host, settings.backend.address.port),
         max_response_bytes=limits.max_body_bytes,
+        memory=BodyMemory(max_bytes=limits.max_total_body_bytes),
         clock=clock,
         instance=endpoint.instance,
     )
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_memory.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/body_memory.py
@@ -6,7 +6,7 @@
 
 
 class BodyMemory:
-    """Counts the body bytes of all requests that are being received or served.
+    """Counts the body bytes that several requests or responses hold.
 
     Parameters
     ----------
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_parser.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_parser.py
@@ -9,7 +9,7 @@
     RequestHeaderFieldsTooLarge,
 )
 
-from vanillapitch_daemon.ingress._memory import BodyMemory
+from vanillapitch_daemon.body_memory import BodyMemory
 
 __all__ = ["RequestParser", "make_adjustments", "make_parser_refusal"]
 
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_server.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/ingress/_server.py
@@ -12,9 +12,9 @@
 from vanillapitch_core import Clock
 from vanillapitch_wire import ReadinessPool
 
+from vanillapitch_daemon.body_memory import BodyMemory
 from vanillapitch_daemon.calls import CallerRequest, Response
 from vanillapitch_daemon.ingress._connection import CallerConnection, Interest
-from vanillapitch_daemon.ingress._memory import BodyMemory
 from vanillapitch_daemon.ingress._parser import RequestParser, make_adjustments
 from vanillapitch_daemon.ingress._problem import RefusalHandler
 from vanillapitch_daemon.logs import get_log
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/owner/_backend.py
@@ -16,6 +16,7 @@
 from vanillapitch_core import Clock
 from vanillapitch_wire.dispatch import DispatchRequest, Header
 
+from vanillapitch_daemon.body_memory import BodyMemory
 from vanillapitch_daemon.calls import Response
 from vanillapitch_daemon.owner._backend_connection import BackendConnection
 from vanillapitch_daemon.owner.exceptions import (
@@ -97,6 +98,8 @@
         Address of the backend server.
     max_response_bytes : int
         Largest response body, in bytes.
+    memory : BodyMemory
+        Limit on the bytes of all responses that are being received.
     clock : Clock
         Source of time.
     instance : str
@@ -108,11 +111,13 @@
         *,
         address: tuple[str, int],
         max_response_bytes: int,
+        memory: BodyMemory,
         clock: Clock,
         instance: str,
     ):
         self._address = address
         self._max_response_bytes = max_response_bytes
+        self._memory = memory
         self._clock = clock
         self._instance = instance
         self._lock = threading.Lock()
@@ -275,14 +280,18 @@
     def _read_body(self, response: urllib3.HTTPResponse) -> bytes:
         chunks = []
         size_bytes = 0
-        while True:
-            chunk = response.read(READ_CHUNK_BYTES)
-            if not chunk:
-                return b"".join(chunks)
-            size_bytes += len(chunk)
-            if size_bytes > self._max_response_bytes:
-                raise ResponseTooLarge("the response exceeds the limit")
-            chunks.append(chunk)
+        try:
+            while chunk := response.read(READ_CHUNK_BYTES):
+                total_bytes = size_bytes + len(chunk)
+                if total_bytes > self._max_response_bytes:
+                    raise ResponseTooLarge("the response exceeds the limit")
+                if not self._memory.reserve(len(chunk)):
+                    raise ResponseTooLarge("no memory for another response")
+                size_bytes = total_bytes
+                chunks.append(chunk)
+            return b"".join(chunks)
+        finally:
+            self._memory.release(size_bytes)
 
     def _classify_connection_loss(
         self, error: Exception, deadline_ms: float
--- a/packages/vanillapitch-daemon/src/vanillapitch_daemon/settings/_models.py
+++ b/packages/vanillapitch-daemon/src/vanillapitch_daemon/settings/_models.py
@@ -142,8 +142,8 @@
         Meta(
             ge=0,
             le=17_179_869_184,
-            description="Body bytes of all requests held in memory; "
-            "at least `max_body_bytes`.",
+            description="Body bytes of all requests held in memory, and of all "
+            "responses being received; at least `max_body_bytes`.",
         ),
     ] = 67_108_864
     probe_budget_percent: Annotated[
--- a/packages/vanillapitch-daemon/tests/test_path.py
+++ b/packages/vanillapitch-daemon/tests/test_path.py
@@ -1,5 +1,6 @@
 """Tests of the request path from a caller to a backend server."""
 
+import concurrent.futures
 import contextlib
 import socket
 import threading
@@ -7,7 +8,11 @@
 
 import pytest
 import urllib3
+from vanillapitch_core.clock import SystemClock
 from vanillapitch_daemon.main import stop_daemon
+from vanillapitch_daemon.owner import Cancellation
+from vanillapitch_daemon.owner.exceptions import BackendError, BackendTimedOut
+from vanillapitch_wire.dispatch import DispatchRequest
 
 
 @pytest.fixture
@@ -272,6 +277,47 @@
     assert response.json()["outcome"] == "unknown"
 
 
+def test_unfinished_responses_share_a_limit(make_daemons, serve_raw):
+    # Guards against a daemon that runs out of memory, because each of many responses
+    # without an end may reach the limit of one. Four of 0.9 MB stall; two of them fit.
+    def respond(connection, line):
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+        connection.sendall(b"x" * 900_000)
+        connection.recv(1)
+
+    (daemon,) = make_daemons(
+        serve_raw(respond), max_body_bytes=1_000_000, max_total_body_bytes=2_000_000
+    )
+
+    def send(number):
+        try:
+            daemon.backend.send(
+                DispatchRequest(
+                    request_id=f"r{number}",
+                    method="GET",
+                    target="/",
+                    headers=[],
+                    body=b"",
+                    attempt=1,
+                ),
+                deadline_ms=SystemClock().now_ms() + 2_000,
+                cancellation=Cancellation(),
+            )
+        except BackendError as error:
+            return type(error)
+
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        errors = list(pool.map(send, range(4)))
+    assert sorted(error.__name__ for error in errors) == [
+        "BackendTimedOut",
+        "BackendTimedOut",
+        "ResponseTooLarge",
+        "ResponseTooLarge",
+    ]
+    # The memory is free again: the next one stalls until its deadline.
+    assert send(4) is BackendTimedOut
+
+
 def test_a_repeated_refusal_never_refuses_the_next_request(
     make_daemons, http_pool, serve_raw
 ):
