Test the memory of real processes under responses without an end

On the deployed path the limits for one response, for all responses of a process and for heads prevent it; until now a test played one call in one process.

160 calls at four endpoints now get each kind of endless bytes, and so do the health checks of these endpoints; other callers must be served and no process may use more than the smallest VM has.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -57,6 +57,8 @@
         Substring of the targets that crash the endpoint; empty for none.
     refusals_have_ids : bool
         Whether a refusal echoes the id of its request.
+    endless_health : str
+        One of `_ENDLESS_PARTS` for the responses to health checks; empty for none.
     health_headers : dict of str to str
         Headers that replace those of responses to health checks.
     rate_limit : str
@@ -70,6 +72,7 @@
     unhealthy: bool = False
     crash_on: str = ""
     refusals_have_ids: bool = True
+    endless_health: str = ""
     health_headers: dict[str, str] = dataclasses.field(default_factory=dict)
     rate_limit: str = ""
     says_leaving: bool = False
@@ -270,7 +273,12 @@
     async def _handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         if request.target == "/health":
             self.health_checks += 1
-            writer.write(self._health())
+            health, endless = self._health(), self.faults.endless_health
+            if endless:
+                head, _, _ = health.partition(b"Content-Length")
+                await _write_without_end(writer, head, endless)
+                return False
+            writer.write(health)
             return True
         headers = request.headers
         expected = headers.get("x-vanillapitch-expected-instance", self.instance)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -91,6 +91,13 @@
         process = self._processes[vm.settings.node]
         return await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
 
+    def peak_memory_mb(self, vm: Vm) -> float:
+        """Return the peak resident memory of the running daemon of a VM, in MB."""
+        pid = self._processes[vm.settings.node].pid
+        status = pathlib.Path("/proc", str(pid), "status").read_text(encoding="ascii")
+        (line,) = (line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return int(line.split()[1]) / 1_024
+
     def log_of(self, vm: Vm) -> str:
         """Return the log that the daemons of a VM have written."""
         path = pathlib.Path(self._folder.name, f"{vm.settings.node}.log")
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -6,7 +6,7 @@
 
 import pytest
 from vanillapitch_testbed.platform_demo import run_demo
-from vanillapitch_testbed.platform_standins import ServiceSpec
+from vanillapitch_testbed.platform_standins import EndpointFaults, ServiceSpec
 from vanillapitch_testbed.platform_standins._processes import (
     STOP_TIMEOUT_S,
     ProcessFleet,
@@ -17,11 +17,11 @@
 SHOP = ServiceSpec(name="shop", zones=("a", "b"))
 
 
-def run_processes(scenario):
+def run_processes(scenario, *, services=(SHOP,), **options):
     async def body():
-        fleet = ProcessFleet(services=[SHOP])
+        fleet = ProcessFleet(services=list(services))
         try:
-            await fleet.start()
+            await fleet.start(**options)
             return await scenario(fleet)
         finally:
             await fleet.stop()
@@ -37,6 +37,52 @@
     assert len(report.requests) > 500
 
 
+def test_bytes_without_end_leave_memory_for_the_others():
+    # Guards against a process that keeps all bytes of many responses without an end
+    # until its memory is used up, and takes the requests of other callers with it. The
+    # smallest VMs have 200 MB. Health checks have no end either.
+    endless = [
+        "endless_head",
+        "endless_body",
+        "endless_chunks",
+        "endless_informational",
+    ]
+    stock = ServiceSpec(name="stock", zones=("a", "b", "a", "b"), slots=40)
+
+    async def scenario(fleet):
+        vms = fleet.vms[-len(endless) :]
+        for vm, fault in zip(vms, endless, strict=True):
+            vm.endpoint.faults = EndpointFaults(response=fault, endless_health=fault)
+        calls = [
+            asyncio.create_task(
+                fleet.call(
+                    f"/stock-once/{number}",
+                    method="POST",
+                    deadline_ms=6_000,
+                    timeout_s=12,
+                )
+            )
+            for number in range(160)
+        ]
+        others = []
+        while not all(call.done() for call in calls):
+            for number in range(len(fleet.vms)):
+                response = await fleet.call("/shop/a", vm=number, deadline_ms=4_000)
+                others.append(response.status)
+        responses = await asyncio.gather(*calls)
+        executions = fleet.executions("/stock-once/")
+        peaks_mb = [fleet.peak_memory_mb(vm) for vm in fleet.vms]
+        return responses, others, executions, peaks_mb
+
+    responses, others, executions, peaks_mb = run_processes(
+        scenario, services=(SHOP, stock), timeout_s=7.0
+    )
+    assert {response.status for response in responses} <= {502, 503, 504}
+    assert {item.outcome for item in executions} >= set(endless)
+    assert set(others) == {200}
+    assert max(peaks_mb) < 200
+
+
 def test_signals_stop_and_reload(tmp_path):
     # Guards against a SIGHUP that ends the process instead of reloading its settings,
     # and against a SIGTERM after which the exit code is not 0 or a log event of the
