Draw silent store connections, late heartbeats and spoiled phrases in the soak

The soak's new faults: the open connections to the store go silent between two changes, and daemons without another fault must know the newer route 3 s later; an endpoint deregisters while the store is busy, its daemon is killed before or after the store is back, and a heartbeat from before arrives late; an endpoint spoils the reason phrase of some responses. The regression cases of earlier seeds draw from the same faults in the same order as before.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/__init__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/__init__.py
@@ -5,7 +5,11 @@
 requests that endpoints executed.
 """
 
-from vanillapitch_testbed.platform_soak._faults import ALL_FAULTS, FAULTS
+from vanillapitch_testbed.platform_soak._faults import (
+    ALL_FAULTS,
+    FAULTS,
+    LIMITS_AND_RESTORES,
+)
 from vanillapitch_testbed.platform_soak._run import SoakReport, run_soak
 
-__all__ = ["ALL_FAULTS", "FAULTS", "SoakReport", "run_soak"]
+__all__ = ["ALL_FAULTS", "FAULTS", "LIMITS_AND_RESTORES", "SoakReport", "run_soak"]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
@@ -1,6 +1,7 @@
 """Faults of the soak; each is applied, lasts for some time and is removed."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import signal
@@ -8,11 +9,24 @@
 from collections.abc import Awaitable, Callable
 
 from vanillapitch_testbed.platform_soak._fleet import SoakFleet
-from vanillapitch_testbed.platform_standins import EndpointFaults, Refusal, StoreFaults
+from vanillapitch_testbed.platform_standins import (
+    EndpointFaults,
+    Refusal,
+    StoreFaults,
+    send_request,
+)
 from vanillapitch_testbed.platform_standins._fleet import Vm
 from vanillapitch_testbed.proxy import Faults
 
-__all__ = ["ALL_FAULTS", "FAULTS", "PLANNED", "Context", "Fault", "Period"]
+__all__ = [
+    "ALL_FAULTS",
+    "FAULTS",
+    "LIMITS_AND_RESTORES",
+    "PLANNED",
+    "Context",
+    "Fault",
+    "Period",
+]
 
 RESPONSE_FAULTS = (
     "truncated",
@@ -28,6 +42,8 @@
 )
 RESTART_DELAY_S = (0.1, 1.0)
 DRAIN_S = 2.0
+# A daemon must act on the current state this long after its connections went silent.
+CONTACT_S = 3.0
 RATE_LIMITS_PER_S = (0.5, 3.0, 9.5)
 
 
@@ -84,6 +100,17 @@
         ]
         return self.rng.choice(free) if free else None
 
+    def add_store_period(self, since_s: float) -> None:
+        """Record that the store had faults from a time until now."""
+        self.periods.append(
+            Period(
+                condition="store_harmed",
+                subject="",
+                since_s=since_s,
+                until_s=time.monotonic(),
+            )
+        )
+
     async def pause(self, low_s: float = 0.3, high_s: float = 3.0) -> None:
         """Wait for a random time, such as the duration of a fault."""
         await asyncio.sleep(self.rng.uniform(low_s, high_s))
@@ -281,14 +308,98 @@
     if rng.random() < 0.5:
         store.compact_history()
     store.faults = StoreFaults()
-    period = Period(
-        condition="store_harmed", subject="", since_s=since_s, until_s=time.monotonic()
-    )
-    context.periods.append(period)
+    context.add_store_period(since_s)
+    context.faulted_components.discard("store")
+    return True
+
+
+async def _silence_store(context: Context) -> bool:
+    """Make the open connections to the store silent, and change the configuration.
+
+    A daemon without another fault must know the new route when it has had the time to
+    notice the silence.
+    """
+    if "store" in context.faulted_components:
+        return False
+    context.faulted_components.add("store")
+    fleet = context.fleet
+    fleet.change_routes(context.rng)
+    await context.pause(0.0, 0.5)
+    fleet.store.silence_connections()
+    silent_s = time.monotonic()
+    await context.pause(0.2, 0.9)
+    fleet.change_routes(context.rng)
+    target = f"{fleet.newest_prefix}x"
+    faulted: set[str] = set()
+    while time.monotonic() < silent_s + CONTACT_S:
+        faulted |= context.faulted_components
+        await asyncio.sleep(0.05)
+    for vm in fleet.vms:
+        node = vm.settings.node
+        if f"daemon:{node}" in faulted:
+            continue
+        with contextlib.suppress(OSError, TimeoutError):
+            response = await send_request(vm.settings.caller_address, target)
+            # Each change removes the route of the one before.
+            if response.status == 404 and target.startswith(fleet.newest_prefix):
+                fleet.violations.append(
+                    f"CONFIG: {node} does not know a route {CONTACT_S} s after its "
+                    "connections to the store went silent"
+                )
     context.faulted_components.discard("store")
     return True
 
 
+async def _forget_departure(context: Context, vm: Vm) -> None:
+    """Deregister an endpoint in an outage, kill its daemon, send a late heartbeat."""
+    rng, fleet, endpoint = context.rng, context.fleet, vm.endpoint
+    components = {f"daemon:{vm.settings.node}", "store"}
+    if components & context.faulted_components:
+        return
+    context.faulted_components |= components
+    late_heartbeat = endpoint.prepare_announcement()
+    fleet.store.faults = StoreFaults(refusal=Refusal.BUSY)
+    since_s = time.monotonic()
+    acknowledged = False
+    with contextlib.suppress(OSError, TimeoutError):
+        acknowledged = await endpoint.deregister() == 200
+    departed_s = time.monotonic()
+    kills_first = rng.random() < 0.5
+    if kills_first:
+        await fleet.kill_daemon(vm)
+    await context.pause(0.2, 1.0)
+    fleet.store.faults = StoreFaults()
+    context.add_store_period(since_s)
+    if not kills_first:
+        await context.pause(1.2, 2.0)
+        await fleet.kill_daemon(vm)
+    await context.pause(*RESTART_DELAY_S)
+    await fleet.start_daemon(vm)
+    await context.pause(0.5, 1.5)
+    with contextlib.suppress(OSError, TimeoutError):
+        await late_heartbeat()
+    await context.pause(2.5, 3.5)
+    if acknowledged:
+        context.periods.append(
+            Period(
+                condition="leaving",
+                subject=vm.settings.node,
+                since_s=departed_s,
+                until_s=time.monotonic(),
+            )
+        )
+    await endpoint.stop()
+    await endpoint.restart()
+    await context.pause(0.5, 1.0)
+    context.faulted_components -= components
+
+
+async def _spoil_phrases(context: Context, vm: Vm) -> None:
+    vm.endpoint.faults = EndpointFaults(response="high_phrase", count=20)
+    await context.pause()
+    vm.endpoint.faults = EndpointFaults()
+
+
 async def _restore_store(context: Context) -> bool:
     """Take the store away for a moment and restore it from a copy seconds old."""
     if "store" in context.faulted_components:
@@ -303,10 +414,7 @@
     await context.pause(0.0, 2.0)
     store.faults = StoreFaults()
     store.restore(copy)
-    period = Period(
-        condition="store_harmed", subject="", since_s=since_s, until_s=time.monotonic()
-    )
-    context.periods.append(period)
+    context.add_store_period(since_s)
     context.faulted_components.discard("store")
     return True
 
@@ -364,9 +472,15 @@
     *(Fault(name="store", apply=_degrade_store),) * 2,
     Fault(name="power", apply=_kill_all_daemons),
 )
-# The regression cases of earlier seeds draw from `FAULTS`, so it stays as it is.
-ALL_FAULTS = (
+# The regression cases of earlier seeds draw from these two, so they stay as they are.
+LIMITS_AND_RESTORES = (
     *FAULTS,
     *(Fault(name="limit", apply=_on_vm("endpoint", _limit_endpoint)),) * 2,
     *(Fault(name="restore", apply=_restore_store),) * 2,
 )
+ALL_FAULTS = (
+    *LIMITS_AND_RESTORES,
+    *(Fault(name="silence", apply=_silence_store),) * 2,
+    *(Fault(name="forget", apply=_on_vm("endpoint", _forget_departure)),) * 2,
+    Fault(name="phrases", apply=_on_vm("endpoint", _spoil_phrases)),
+)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_endpoint.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import time
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -209,6 +210,16 @@
     async def announce(self, **changes: object) -> int:
         """Send one heartbeat; return the status of the response.
 
+        Parameters
+        ----------
+        **changes : object
+            Fields that replace those of the heartbeat.
+        """
+        return await self.prepare_announcement(**changes)()
+
+    def prepare_announcement(self, **changes: object) -> Callable[[], Awaitable[int]]:
+        """Return a function that sends a heartbeat with the current state, also late.
+
         Parameters
         ----------
         **changes : object
@@ -231,14 +242,17 @@
             },
             **changes,
         }
-        return await self._call_daemon("instances.heartbeat", msgspec.json.encode(body))
+        raw, instance = msgspec.json.encode(body), self.instance
+        return lambda: self._call_daemon("instances.heartbeat", raw, instance=instance)
 
     async def deregister(self) -> int:
         """Deregister without draining first; return the status of the response."""
         self.state = "gone"
         if self._task is not None:
             self._task.cancel()
-        return await self._call_daemon("instances.deregister", b"")
+        return await self._call_daemon(
+            "instances.deregister", b"", instance=self.instance
+        )
 
     async def drain(self) -> int:
         """Announce that it is draining; return the status of the response."""
@@ -250,10 +264,10 @@
         self._task.cancel()
         self.faults.says_leaving = True
 
-    async def _call_daemon(self, call: str, body: bytes) -> int:
+    async def _call_daemon(self, call: str, body: bytes, *, instance: str) -> int:
         response = await send_request(
             self._control_address,
-            f"/api/rpc?call={call}&of={self.instance}",
+            f"/api/rpc?call={call}&of={instance}",
             method="POST",
             body=body,
             timeout_s=1.0,
--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -6,7 +6,11 @@
 import asyncio
 
 import pytest
-from vanillapitch_testbed.platform_soak import ALL_FAULTS, FAULTS, run_soak
+from vanillapitch_testbed.platform_soak import (
+    FAULTS,
+    LIMITS_AND_RESTORES,
+    run_soak,
+)
 
 pytestmark = pytest.mark.integration
 
@@ -15,7 +19,12 @@
 # Seed 140 kills all daemons at once while the store does not respond, so that no daemon
 # can load a configuration.
 # Seed 24 draws an endpoint that names a rate, and seed 25 restores of the store.
-CASES = ((102, FAULTS), (140, FAULTS), (24, ALL_FAULTS), (25, ALL_FAULTS))
+CASES = (
+    (102, FAULTS),
+    (140, FAULTS),
+    (24, LIMITS_AND_RESTORES),
+    (25, LIMITS_AND_RESTORES),
+)
 
 
 @pytest.mark.parametrize(("seed", "choices"), CASES)
