Let a returned departure bind its own incarnation only

What callers would see: an endpoint is started again under its id after its daemon was killed in an outage, the new process adopts it from a health check, and then another daemon returns the departure of the earlier incarnation. The endpoint got no requests until the daemon was restarted.

Cause: while the start time is unknown, the next announcement counted as one of the same incarnation, in which a departure is final.

Change: a departure stays only if the incarnation is known to be the same, or is the one that left.

Measured: test_a_departure_that_is_returned_late_binds_its_own_incarnation_only failed before for the later start time (leaving where ready is expected) and passes, as do the other tests of the states, one of which plays random orders of events.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_state.py
@@ -145,11 +145,16 @@
     is_new = announcement.instance != observed.instance or (
         observed.born_ms >= 0 and announcement.born_ms != observed.born_ms
     )
+    # While the start time is unknown, the departure may be that of an earlier
+    # incarnation.
+    is_same_start = not is_new and observed.born_ms >= 0
+    observed.leaving = _has_left(observed, announcement) or (
+        is_same_start and observed.leaving
+    )
     if is_new:
         observed.incarnation += 1
         observed.verified = False
         observed.confirmed = False
-        observed.leaving = _has_left(observed, announcement)
         observed.cold_until_ms = 0.0
     else:
         observed.confirmed |= observed.sequence >= 0
@@ -161,8 +166,6 @@
     observed.cold_until_ms = now_ms + announcement.cold_remaining_ms
     if announcement.leaving:
         _set_leaving(observed)
-    elif _has_left(observed, announcement):
-        observed.leaving = True
     return AnnouncementVerdict.ACCEPTED
 
 
--- a/packages/vanillapitch-relay/tests/test_endpoint_state.py
+++ b/packages/vanillapitch-relay/tests/test_endpoint_state.py
@@ -182,6 +182,21 @@
     assert state_of(observed) is expected
 
 
+@pytest.mark.parametrize("born_ms", [1_000, 2_000])
+def test_a_departure_that_is_returned_late_binds_its_own_incarnation_only(born_ms):
+    # Guards against an endpoint that gets no requests for good: it was started again
+    # under its id, and adopted before a daemon returned the earlier departure.
+    observed = ObservedEndpoint(service="shop", departures_known=True)
+    apply_health(observed, HEALTHY, now_ms=0.0)
+    apply_departure_record(observed, instance="i-1", born_ms=1_000)
+    assert state_of(observed) is EndpointState.LEAVING
+    announcement = dataclasses.replace(FIRST, born_ms=born_ms)
+    apply_announcement(observed, announcement, now_ms=0.0)
+    apply_health(observed, HEALTHY, now_ms=0.0)
+    expected = EndpointState.LEAVING if born_ms == 1_000 else EndpointState.READY
+    assert state_of(observed) is expected
+
+
 def test_a_restarted_daemon_adopts_a_healthy_endpoint():
     # Guards against a healthy endpoint that receives no requests after a restart of the
     # daemon until its next announcement. The stored departure has to be read first.
