Share the recording transport and the reader of pipelined responses

Two test files had a transport of their own, and three places read pipelined responses. Both are in the testbed now. The property test of written responses uses them; its checks are as they were. One forwarding method of the daemon is gone.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -184,7 +184,7 @@
             ),
             request_health_check=self._request_health_check,
             await_health_check=self._await_health_check,
-            store_departure=self._keep_departure,
+            store_departure=lambda: self._keeper.keep(),
         )
         self._hub.owner = self._owner
         self._hub.quarantine = self._quarantine
@@ -429,10 +429,7 @@
     def _on_store_restored(self) -> None:
         self._departures.forget()
         if self._owner.parts.observed.leaving:
-            self._keep_departure()
-
-    def _keep_departure(self) -> None:
-        self._keeper.keep()
+            self._keeper.keep()
 
     async def _use_store(self) -> None:
         """Read the store once, then stay registered and follow changes."""
--- a/packages/vanillapitch-relay/tests/test_faulty_peers.py
+++ b/packages/vanillapitch-relay/tests/test_faulty_peers.py
@@ -14,6 +14,7 @@
 )
 from vanillapitch_relay.http_client import HttpConnection, HttpRequest
 from vanillapitch_testbed.platform_standins import send_request
+from vanillapitch_testbed.transport import RecordingTransport
 from vanillapitch_wire.relay import (
     PROTOCOL_VERSION,
     Call,
@@ -322,25 +323,6 @@
         return
 
 
-class _Transport:
-    """Transport that accepts everything."""
-
-    def __init__(self):
-        self.closing = False
-
-    def write(self, data):
-        pass
-
-    def is_closing(self):
-        return self.closing
-
-    def abort(self):
-        self.closing = True
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 @fuzz(400)
 @given(data=HTTP_BYTES, cut=st.integers(0, 200))
 def test_random_responses_are_decoded_or_refused(data, cut):
@@ -348,7 +330,7 @@
     # request without an end, or are taken for its response without its id.
     async def exchange():
         connection = HttpConnection(echo_header=b"x-vanillapitch-attempt-id")
-        connection.connection_made(_Transport())
+        connection.connection_made(RecordingTransport())
         request = HttpRequest(
             method="GET", target="/a", headers=[(b"host", b"h")], request_id=b"1"
         )
@@ -418,7 +400,7 @@
 
     async def exchange(length):
         connection = HttpConnection(echo_header=b"x-vanillapitch-attempt-id")
-        connection.connection_made(_Transport())
+        connection.connection_made(RecordingTransport())
         request = HttpRequest(
             method="GET", target="/a", headers=[(b"host", b"h")], request_id=b"1"
         )
--- a/packages/vanillapitch-relay/tests/test_path.py
+++ b/packages/vanillapitch-relay/tests/test_path.py
@@ -6,6 +6,7 @@
 from vanillapitch_relay import ingress
 from vanillapitch_testbed.platform_standins import (
     ServiceSpec,
+    read_pipelined,
     send_pipelined,
     send_request,
 )
@@ -88,19 +89,12 @@
             [f"/stock/p?work_ms={work_ms}" for work_ms in (120, 10, 60)],
             deadline_ms=2_000,
         )
-        ids = []
-        for _ in range(3):
-            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
-            fields = dict(
-                line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:-2]
-            )
-            ids.append(fields[b"x-vanillapitch-attempt-id"])
-            await reader.readexactly(int(fields[b"content-length"]))
+        ids = [(await read_pipelined(reader))[1] for _ in range(3)]
         writer.close()
         return ids, fleet.vms[2].endpoint.max_running
 
     ids, max_running = run_fleet(scenario)
-    assert ids == [b"p0", b"p1", b"p2"]
+    assert ids == ["p0", "p1", "p2"]
     assert max_running == 3
 
 
--- a/packages/vanillapitch-relay/tests/test_response_order.py
+++ b/packages/vanillapitch-relay/tests/test_response_order.py
@@ -8,85 +8,35 @@
 from vanillapitch_core.clock import SystemClock
 from vanillapitch_relay import http_server
 from vanillapitch_relay.body_budget import BodyBudget
+from vanillapitch_relay.configuration_state import _INITIAL_LIMITS
 from vanillapitch_relay.exceptions import RelayError
 from vanillapitch_relay.http_client import HttpConnection, HttpRequest, HttpResponse
 from vanillapitch_relay.http_server import CallerConnection, ServerState
-from vanillapitch_relay.model import ClientLimits
-from vanillapitch_testbed.platform_standins import send_pipelined
-
-LIMITS = ClientLimits(
-    max_header_bytes=16_384,
-    max_body_bytes=1_000_000,
-    header_timeout_ms=3_000.0,
-    idle_timeout_ms=15_000.0,
-)
-ID = b"x-vanillapitch-attempt-id"
-
-
-class _Transport:
-    """Transport that keeps what is written."""
-
-    def __init__(self):
-        self.written = b""
-        self.closing = False
-
-    def write(self, data):
-        self.written += data
-
-    def write_eof(self):
-        pass
-
-    def is_closing(self):
-        return self.closing
+from vanillapitch_testbed.platform_standins import read_pipelined, send_pipelined
+from vanillapitch_testbed.transport import RecordingTransport, run_protocol
 
-    def abort(self):
-        self.closing = True
-
-    close = abort
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def get_extra_info(self, name, default=None):
-        return default
-
-
-def serve(handle, requests):
-    """Return what a caller connection writes for raw requests, and its state."""
+ID = b"x-vanillapitch-attempt-id"
+REQUEST = HttpRequest(
+    method="GET", target="/", headers=[(b"host", b"h")], request_id=b"1"
+)
 
-    async def body():
-        state = ServerState(
-            handle=handle,
-            limits=lambda: LIMITS,
-            clock=SystemClock(),
-            body_budget=BodyBudget(limit_bytes=1_000_000),
-        )
-        transport = _Transport()
-        connection = CallerConnection(state=state)
-        connection.connection_made(transport)
-        connection.data_received(requests)
-        for _ in range(10):
-            await asyncio.sleep(0)
-        connection.connection_lost(None)
-        return transport, state
 
-    return asyncio.run(body())
+def serve(respond, *, count=3):
+    """Return what the server writes for pipelined requests, and its state."""
 
+    async def handle(request, arrived_ms, host):
+        return await respond(request.target)
 
-def encode_requests(*targets):
-    """Encode requests without a body."""
-    return b"".join(
-        b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target.encode() for target in targets
+    state = ServerState(
+        handle=handle,
+        limits=lambda: _INITIAL_LIMITS,
+        clock=SystemClock(),
+        body_budget=BodyBudget(limit_bytes=1_000_000),
     )
-
-
-async def read_response(reader):
-    """Return the status line, the id and the body of the next response."""
-    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
-    line, *fields = head.lower().split(b"\r\n")[:-2]
-    headers = dict(field.split(b": ", 1) for field in fields)
-    body = await reader.readexactly(int(headers[b"content-length"]))
-    return line, headers.get(ID), body
+    requests = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % number for number in range(count)
+    )
+    return run_protocol(lambda: CallerConnection(state=state), requests), state
 
 
 @pytest.mark.parametrize("spoiled", [1, 3])
@@ -101,26 +51,23 @@
             [f"/stock/p?work_ms={10 + 40 * n}" for n in range(3)],
             deadline_ms=2_000,
         )
-        responses = [await read_response(reader) for _ in range(3)]
+        responses = [await read_pipelined(reader) for _ in range(3)]
         writer.close()
         return responses
 
-    lines, ids, bodies = zip(*run_fleet(scenario), strict=True)
-    assert [line.split(b" ", 2)[1] for line in lines] == [b"200"] * 3
-    assert list(ids) == [b"p0", b"p1", b"p2"]
-    assert list(bodies) == [f"answer to p{n}".encode() * 10 for n in range(3)]
+    assert run_fleet(scenario) == [
+        (200, f"p{n}", f"answer to p{n}".encode() * 10) for n in range(3)
+    ]
 
 
 def test_a_response_that_cannot_be_written_is_one_true_failure():
     # Guards against a response whose encoding fails: its caller gets none, and the next
     # response is taken for it. 502 does not state that the request was not executed.
-    async def handle(request, arrived_ms, host):
-        phrase = "\u20ac" if request.target == "/1" else "OK"
-        return HttpResponse(
-            status=200, phrase=phrase, headers=[], body=request.target.encode()
-        )
+    async def respond(target):
+        phrase = "\u20ac" if target == "/1" else "OK"
+        return HttpResponse(status=200, phrase=phrase, headers=[], body=target.encode())
 
-    transport, state = serve(handle, encode_requests("/0", "/1", "/2"))
+    transport, state = serve(respond)
     first, second, third = transport.written.split(b"HTTP/1.1 ")[1:]
     assert first.endswith(b"/0")
     assert second.startswith(b"502 ")
@@ -132,11 +79,6 @@
 def test_no_response_follows_one_that_was_lost(monkeypatch):
     # Guards against later responses in the place of one that an unexpected error lost,
     # whatever the error is.
-    async def handle(request, arrived_ms, host):
-        return HttpResponse(
-            status=200, phrase="OK", headers=[], body=request.target.encode()
-        )
-
     strip = http_server.strip_hop_headers
     calls = []
 
@@ -146,8 +88,11 @@
             raise RuntimeError("an unexpected error")
         return strip(headers)
 
+    async def respond(target):
+        return HttpResponse(status=200, phrase="OK", headers=[], body=target.encode())
+
     monkeypatch.setattr(http_server, "strip_hop_headers", break_from_the_second)
-    transport, _ = serve(handle, encode_requests("/0", "/1", "/2"))
+    transport, _ = serve(respond)
     assert transport.written.endswith(b"/0")
     assert transport.closing
 
@@ -166,28 +111,19 @@
         (status, phrase, ID, value, len(body), body)
     )
 
-    async def handle(request, arrived_ms, host):
+    async def respond(target):
         connection = HttpConnection(echo_header=ID)
-        connection.connection_made(_Transport())
-        task = asyncio.ensure_future(
-            connection.exchange(
-                HttpRequest(
-                    method="GET",
-                    target="/",
-                    headers=[(b"host", b"h")],
-                    request_id=b"1",
-                )
-            )
-        )
+        connection.connection_made(RecordingTransport())
+        exchange = asyncio.ensure_future(connection.exchange(REQUEST))
         await asyncio.sleep(0)
         connection.data_received(raw)
         connection.connection_lost(None)
         try:
-            return await task
+            return await exchange
         except RelayError:
             return HttpResponse(status=502, phrase="Bad", headers=[], body=b"broken")
 
-    transport, _ = serve(handle, encode_requests("/0", "/1"))
+    transport, _ = serve(respond, count=2)
     heads = [
         part for part in transport.written.split(b"HTTP/1.1 ") if part[:3].isdigit()
     ]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/__init__.py
@@ -5,6 +5,7 @@
 
 from vanillapitch_testbed.platform_standins._caller import (
     CallerResponse,
+    read_pipelined,
     send_pipelined,
     send_request,
 )
@@ -41,6 +42,7 @@
     "count_most_in_window",
     "make_configuration",
     "make_route",
+    "read_pipelined",
     "send_pipelined",
     "send_request",
 ]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_caller.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_caller.py
@@ -7,7 +7,7 @@
 
 import h11
 
-__all__ = ["CallerResponse", "send_pipelined", "send_request"]
+__all__ = ["CallerResponse", "read_pipelined", "send_pipelined", "send_request"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,6 +132,36 @@
     return reader, writer
 
 
+async def read_pipelined(
+    reader: asyncio.StreamReader, *, timeout_s: float = 5.0
+) -> tuple[int, str, bytes]:
+    """Read the next response of a connection of `send_pipelined`.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        The connection.
+    timeout_s : float
+        Time after which `TimeoutError` is raised.
+
+    Returns
+    -------
+    status : int
+        HTTP status.
+    request_id : str
+        Id of the attempt that the response names; empty for none.
+    body : bytes
+        The body.
+    """
+    async with asyncio.timeout(timeout_s):
+        head = await reader.readuntil(b"\r\n\r\n")
+        line, *fields = head.decode("latin-1").lower().split("\r\n")[:-2]
+        headers = dict(field.split(": ", 1) for field in fields)
+        body = await reader.readexactly(int(headers["content-length"]))
+    request_id = headers.get("x-vanillapitch-attempt-id", "")
+    return int(line.split(" ")[1]), request_id, body
+
+
 async def _read_response(
     reader: asyncio.StreamReader, parser: h11.Connection, request_id: str
 ) -> CallerResponse:
