Wait in the soak until a started daemon handles signals

A start now lasts until the daemon listens, which it does after it has set its handlers. No check is changed.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_fleet.py
@@ -1,12 +1,16 @@
 """Processes of the deployment behind proxies for callers and endpoints."""
 
+import asyncio
 import random
 
 from vanillapitch_relay.model import Settings
 
 from vanillapitch_testbed.platform_standins import ServiceSpec, make_route
 from vanillapitch_testbed.platform_standins._fleet import Vm
-from vanillapitch_testbed.platform_standins._processes import ProcessFleet
+from vanillapitch_testbed.platform_standins._processes import (
+    READY_TIMEOUT_S,
+    ProcessFleet,
+)
 from vanillapitch_testbed.proxy import TcpLink
 
 __all__ = ["COLD_PER_S", "SoakFleet"]
@@ -53,6 +57,23 @@
         self._links_by_node[settings.node] = links
         return bind
 
+    async def start_daemon(self, vm: Vm, **options: object) -> None:
+        """Start the program and wait until it listens and handles signals.
+
+        Before that, the default action of a stop signal ends it.
+        """
+        await super().start_daemon(vm, **options)
+        host, _, port = vm.settings.caller_address.rpartition(":")
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(0.02)
+                else:
+                    writer.close()
+                    return
+
     def links(self, vm: Vm) -> tuple[TcpLink, TcpLink]:
         """Return the proxy to the daemon and the proxy to the endpoint."""
         return self._links_by_node[vm.settings.node]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_processes.py
@@ -15,7 +15,7 @@
     Vm,
 )
 
-__all__ = ["STOP_TIMEOUT_S", "ProcessFleet"]
+__all__ = ["READY_TIMEOUT_S", "STOP_TIMEOUT_S", "ProcessFleet"]
 
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
