Share the restart before a late heartbeat between the tests of departures

Four tests killed a daemon, started it and sent a heartbeat that says ready, each with the same lines. The fleet does it now. In the test of a kill during an outage the health checks say ready as well, so it no longer depends on the evidence that a new process asks for.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_standins/_fleet.py
@@ -304,6 +304,29 @@
             vm.daemon = None
             await asyncio.sleep(0)
 
+    async def restart_before_late_heartbeat(self, vm: Vm) -> int:
+        """Replace a daemon by a new process, which then gets a heartbeat.
+
+        The heartbeat says ready, and so do the health checks of the endpoint from then
+        on.
+
+        Parameters
+        ----------
+        vm : Vm
+            The VM of the daemon.
+
+        Returns
+        -------
+        int
+            Status of the response to the heartbeat.
+        """
+        await self.kill_daemon(vm)
+        await self.start_daemon(vm)
+        vm.endpoint.state = "ready"
+        status = await vm.endpoint.announce()
+        await asyncio.sleep(0.3)
+        return status
+
     async def wait_until_connected(self, *, timeout_s: float = 5.0) -> None:
         """Wait until every running daemon can use every endpoint."""
 
