Parse received bytes in turns, so that small chunks leave the loop to others

Callers saw: requests by way of a daemon whose endpoint sent chunks of one byte waited 0.2 to 0.65 s, once more than 5 s, or were refused as overloaded beside free slots.

Cause: one read holds up to 256 KiB, 43,690 chunks, and was parsed in one piece up to the limit of 16,384 parts. Bodies of callers' requests have no such limit; one read of them held the loop for 0.7 s.

A complete response that waits when its connection breaks is delivered; a cancelled exchange leaves the queue; an error in a turn aborts its connection alone.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_pool.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/endpoint_pool.py
@@ -6,6 +6,7 @@
 
 from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.http_client import HttpConnection, open_connection
+from vanillapitch_relay.parse_turns import ParseTurns
 
 __all__ = ["EndpointPool"]
 
@@ -34,6 +35,8 @@
         Source of time.
     budget : BodyBudget
         Bounds the bytes of responses in memory.
+    turns : ParseTurns
+        Shares the event loop between the connections.
     idle : list of HttpConnection
         Connections without a request in progress.
     opened : int
@@ -44,6 +47,7 @@
     echo_header: bytes
     clock: Clock
     budget: BodyBudget
+    turns: ParseTurns = dataclasses.field(default_factory=ParseTurns)
     idle: list[HttpConnection] = dataclasses.field(default_factory=list)
     opened: int = 0
 
@@ -77,6 +81,7 @@
             timeout_ms=CONNECT_TIMEOUT_MS,
             echo_header=self.echo_header,
             budget=self.budget,
+            turns=self.turns,
         )
 
     def release(self, connection: HttpConnection) -> None:
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_client.py
@@ -18,6 +18,7 @@
     RelayError,
     ResponseInvalid,
 )
+from vanillapitch_relay.parse_turns import EVENTS_PER_TURN, ParseTurns
 
 __all__ = [
     "Headers",
@@ -32,8 +33,7 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Each part of a body and each informational response costs some 20 us of the loop, and
-# a faulty server may send them without end.
+# A faulty server may send parts of a body and informational responses without end.
 MAX_BODY_PARTS = 16_384
 MAX_INFORMATIONAL = 8
 # Late responses to earlier requests that are skipped before the connection is closed.
@@ -87,6 +87,7 @@
     timeout_ms: float,
     echo_header: bytes = b"",
     budget: BodyBudget | None = None,
+    turns: ParseTurns | None = None,
 ) -> "HttpConnection":
     """Connect to an HTTP server.
 
@@ -100,6 +101,8 @@
         Header in which responses echo the id of their request, or empty.
     budget : BodyBudget or None
         Bounds the bytes of responses over several connections; None for one of its own.
+    turns : ParseTurns or None
+        Shares the event loop with other connections; None for one of its own.
 
     Returns
     -------
@@ -116,7 +119,9 @@
         host, port = parse_address(address)
         async with asyncio.timeout(timeout_ms / 1_000.0):
             _, connection = await loop.create_connection(
-                lambda: HttpConnection(echo_header=echo_header, budget=budget),
+                lambda: HttpConnection(
+                    echo_header=echo_header, budget=budget, turns=turns
+                ),
                 host,
                 port,
             )
@@ -134,9 +139,17 @@
         Header in which responses echo the id of their request, or empty.
     budget : BodyBudget or None
         Bounds the bytes of responses over several connections; None for one of its own.
+    turns : ParseTurns or None
+        Shares the event loop with other connections; None for one of its own.
     """
 
-    def __init__(self, *, echo_header: bytes = b"", budget: BodyBudget | None = None):
+    def __init__(
+        self,
+        *,
+        echo_header: bytes = b"",
+        budget: BodyBudget | None = None,
+        turns: ParseTurns | None = None,
+    ):
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
         self._echo_header = echo_header
@@ -148,6 +161,9 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._budget = budget or BodyBudget(limit_bytes=MAX_RESPONSE_BYTES)
+        self._turns = turns or ParseTurns()
+        self._awaits_turn = False
+        self._lost_reason: ConnectionBroken | None = None
         self._exchanges = 0
         self._informational = 0
         self._stale_responses = 0
@@ -215,7 +231,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser."""
-        if self._waiter is None or self._waiter.done():
+        if not self._is_waiting:
             # No request is pending, so these bytes belong to none.
             self.close()
             return
@@ -224,7 +240,7 @@
 
     def eof_received(self) -> bool:
         """End a response that has no length, as the end of the stream delimits it."""
-        if self._waiter is not None and not self._waiter.done():
+        if self._is_waiting:
             self._usable = False
             if self._response_head is not None:
                 self._feed(b"")
@@ -237,7 +253,10 @@
         reason = "reset" if error is not None else "closed"
         if self._has_received:
             reason += " while the response was received"
-        self._fail(ConnectionBroken(f"the connection was {reason}"))
+        self._lost_reason = ConnectionBroken(f"the connection was {reason}")
+        # Bytes that wait for a turn may complete the response.
+        if not self._awaits_turn:
+            self._fail(self._lost_reason)
 
     def _start_cycle(self) -> None:
         self._parser = h11.Connection(
@@ -265,28 +284,55 @@
         return b"".join(parts)
 
     def _feed(self, data: bytes) -> None:
-        try:
-            self._parser.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._fail(ResponseInvalid(f"not a valid HTTP response: {error}"))
-            self.close()
+        self._parser.receive_data(data)
+        if not self._awaits_turn and self._read_events():
+            self._awaits_turn = True
+            self._transport.pause_reading()
+            self._turns.add(self._take_turn, abort=self.close)
+
+    def _take_turn(self) -> bool:
+        """Process more events; return whether another turn is needed."""
+        self._awaits_turn = False
+        if self._read_events():
+            self._awaits_turn = True
+            return True
+        self._transport.resume_reading()
+        if self._lost_reason is not None:
+            self._fail(self._lost_reason)
+        return False
 
-    def _read_events(self) -> None:
-        while self._waiter is not None and not self._waiter.done():
-            event = self._parser.next_event()
+    def _read_events(self) -> bool:
+        """Process the events of one turn; return whether another turn is needed."""
+        for _ in range(EVENTS_PER_TURN):
+            if not self._is_waiting:
+                return False
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                self._fail(ResponseInvalid(f"not a valid HTTP response: {error}"))
+                self.close()
+                return False
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Response):
-                self._response_head = event
-            elif isinstance(event, h11.InformationalResponse):
-                self._count_informational()
-            elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._complete()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._fail(ConnectionBroken("the connection was closed"))
+                return False
+            self._process(event)
+        return self._is_waiting
+
+    @property
+    def _is_waiting(self) -> bool:
+        """Whether the response of the pending exchange is incomplete."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def _process(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response):
+            self._response_head = event
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_informational()
+        elif isinstance(event, h11.Data):
+            self._add_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._complete()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(ConnectionBroken("the connection was closed"))
 
     def _add_body(self, data: bytes) -> None:
         is_too_large = (
@@ -359,7 +405,7 @@
 
     def _fail(self, error: RelayError) -> None:
         self._usable = False
-        if self._waiter is not None and not self._waiter.done():
+        if self._is_waiting:
             self._waiter.set_exception(error)
 
 
--- a/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/http_server.py
@@ -8,7 +8,8 @@
 import collections
 import contextlib
 import dataclasses
-from collections.abc import Awaitable, Callable
+import enum
+from collections.abc import Awaitable, Callable, Iterator
 
 import h11
 import msgspec
@@ -20,6 +21,7 @@
 from vanillapitch_relay.http_responses import make_response, strip_hop_headers
 from vanillapitch_relay.line_log import EventLog
 from vanillapitch_relay.model import ClientLimits
+from vanillapitch_relay.parse_turns import EVENTS_PER_TURN, ParseTurns
 
 __all__ = ["CallerConnection", "Handler", "ServerState"]
 
@@ -48,6 +50,8 @@
         Source of time.
     body_budget : BodyBudget
         Budget of the request bodies in memory.
+    turns : ParseTurns
+        Shares the event loop between the connections.
     connections : set of CallerConnection
         Open connections.
     stopping : bool
@@ -64,6 +68,7 @@
     clock: Clock
     body_budget: BodyBudget
     may_pipeline: Callable[[HttpRequest], bool] = lambda request: True
+    turns: ParseTurns = dataclasses.field(default_factory=ParseTurns)
     connections: set["CallerConnection"] = dataclasses.field(default_factory=set)
     stopping: bool = False
     unwritable_responses: int = 0
@@ -92,6 +97,14 @@
     response: HttpResponse | None = None
 
 
+class _Progress(enum.Enum):
+    """Why the parser stopped."""
+
+    COMPLETE = enum.auto()
+    NEEDS_DATA = enum.auto()
+    NEEDS_TURN = enum.auto()
+
+
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
@@ -112,7 +125,8 @@
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._reading_ended = False
         self._closed = False
-        self._read_paused = False
+        self._pipeline_is_full = False
+        self._awaits_turn = False
         self._in_message = False
         self._phase_started_ms = state.clock.now_ms()
         self._timer: asyncio.TimerHandle | None = None
@@ -148,7 +162,7 @@
             self._in_message = True
             self._phase_started_ms = self._state.clock.now_ms()
         self._pending += data
-        self._read_requests()
+        self._parse()
 
     def end_reading(self) -> None:
         """Stop reading requests; close after the pending responses."""
@@ -169,28 +183,50 @@
         limit = self._state.limits().max_header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
 
-    def _read_requests(self) -> None:
+    def _parse(self) -> None:
+        """Parse the received bytes, in later turns too if they take long."""
+        if not self._awaits_turn and self._read_requests():
+            self._awaits_turn = True
+            self._state.turns.add(self._take_turn, abort=self.abort)
+        self._update_reading()
+
+    def _take_turn(self) -> bool:
+        """Parse more of the received bytes; return whether another turn is needed."""
+        self._awaits_turn = self._read_requests()
+        self._update_reading()
+        return self._awaits_turn
+
+    def _update_reading(self) -> None:
+        if self._pipeline_is_full or self._awaits_turn:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _read_requests(self) -> bool:
+        """Parse for one turn; return whether another turn is needed."""
+        turn = iter(range(EVENTS_PER_TURN))
         while not self._reading_ended and not self._closed:
             if len(self._exchanges) >= MAX_PIPELINED:
-                self._pause_reading()
-                return
+                self._pipeline_is_full = True
+                return False
             if self._pending:
                 data, self._pending = self._pending, b""
                 self._parser.receive_data(data)
             try:
-                complete = self._read_events()
+                progress = self._read_events(turn)
             except h11.RemoteProtocolError as error:
                 self._refuse(str(error), status=error.error_status_hint)
-                return
+                return False
             except RequestInvalid as error:
                 self._refuse(str(error), status=error.status)
-                return
-            if not complete:
-                return
+                return False
+            if progress is not _Progress.COMPLETE:
+                return progress is _Progress.NEEDS_TURN
+        return False
 
-    def _read_events(self) -> bool:
-        """Process events of the current request; return whether it is complete."""
-        while True:
+    def _read_events(self, turn: Iterator[int]) -> _Progress:
+        """Process events of the current request until it is complete."""
+        for _ in turn:
             event = self._parser.next_event()
             if isinstance(event, h11.Request):
                 self._head = event
@@ -201,9 +237,10 @@
                 self._add_body(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._finish_request()
-                return True
+                return _Progress.COMPLETE
             else:
-                return False
+                return _Progress.NEEDS_DATA
+        return _Progress.NEEDS_TURN
 
     def _check_head(self, head: h11.Request) -> None:
         names = [bytes(name) for name, _ in head.headers]
@@ -323,10 +360,9 @@
                 self._close_after_response()
                 return
         self._start_handlers()
-        if self._read_paused and len(self._exchanges) < MAX_PIPELINED:
-            self._read_paused = False
-            self._transport.resume_reading()
-            self._read_requests()
+        if self._pipeline_is_full and len(self._exchanges) < MAX_PIPELINED:
+            self._pipeline_is_full = False
+            self._parse()
 
     def _ends_with_response(self) -> bool:
         """Return whether the connection closes after the response being sent.
@@ -386,11 +422,6 @@
         self._exchanges.append(exchange)
         self._send_responses()
 
-    def _pause_reading(self) -> None:
-        if not self._read_paused:
-            self._read_paused = True
-            self._transport.pause_reading()
-
     def _arm_timer(self) -> None:
         limits = self._state.limits()
         wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms)
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/transport.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/transport.py
@@ -17,12 +17,15 @@
         All bytes written.
     closing : bool
         Whether it was closed or aborted.
+    reading : bool
+        Whether the protocol accepts bytes.
     """
 
     def __init__(self):
         super().__init__()
         self.written = b""
         self.closing = False
+        self.reading = True
 
     def write(self, data: bytes) -> None:
         """Keep the bytes."""
@@ -31,6 +34,14 @@
     def write_eof(self) -> None:
         """Accept the end of the stream."""
 
+    def pause_reading(self) -> None:
+        """Accept no bytes."""
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        """Accept bytes again."""
+        self.reading = True
+
     def is_closing(self) -> bool:
         """Return whether the transport was closed."""
         return self.closing
