End the configuration follower when it is cancelled beside its watch

Callers saw: nothing so far. A daemon that stops while it gives up a watch (the store was just lost or restored) went on watching until the process cancelled all tasks a second time, 0.1 s later.

Cause: the follower awaited the cancelled watch under suppress(CancelledError), which also swallowed a cancellation of itself.

Change: it waits with gather, which returns the watch's cancellation and raises its own.

Measured: the test fails before in the case "ending" (a second watch starts, and the task is not cancelled after 1 s) and passes after; "pending" passes in both.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/configuration_follower.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 
@@ -160,8 +159,9 @@
             finally:
                 for task in (watch, lost):
                     task.cancel()
-                with contextlib.suppress(asyncio.CancelledError, StoreError):
-                    await watch
+                # Awaiting the cancelled watch itself would not tell its cancellation
+                # from one of this task.
+                await asyncio.gather(watch, lost, return_exceptions=True)
 
     def _watch_timeout_ms(self) -> float:
         return max(WATCH_TIMEOUT_MIN_MS, WATCH_SHARE * self._bounds().reconnect_ms)
