Search introducers less often while the store is down

Cause: a daemon that is no introducer searches again 2.1 to 3 s after a failed search, 0.39 calls a second, so six make 2.35 where the test states 1.5. The bound on the sum of all calls left room for most of it, as introducers make 20 to 22 of the 26.7 that it allows them.

Change: the next search comes after 4.2 to 6 s. The test also bounds the calls of the six alone; its other bound stays.

Two calls of one daemon are at least 4.2 s apart, so six daemons cannot exceed the bound.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/registration.py
@@ -40,7 +40,7 @@
 # billed too.
 RETRY_INTERVAL_MS = 900.0
 # All daemons but the introducers wait for this time, since they share the outage.
-SEARCH_RETRY_INTERVAL_MS = 3_000.0
+SEARCH_RETRY_INTERVAL_MS = 6_000.0
 # A stale read costs a tenth of a call. Links are kept for longer than this interval.
 MEMBERS_INTERVAL_MS = 8_000.0
 # The platform documents that stale reads may be seconds old.
--- a/packages/vanillapitch-relay/tests/test_store_economy.py
+++ b/packages/vanillapitch-relay/tests/test_store_economy.py
@@ -168,10 +168,13 @@
         await asyncio.sleep(2.0)
         fleet.store.calls_by_path.clear()
         await asyncio.sleep(4.0)
-        return sum(fleet.store.calls_by_path.values())
+        return dict(fleet.store.calls_by_path)
 
+    calls = run_fleet(scenario, services=ONE_ZONE)
+    # Only the six search; their first read may be stale, and it fails.
+    assert calls.get("kv-range-stale", 0) <= 1.5 * 4.0
     # Each of the two retries its watch and its renewal every 0.6 s or later.
-    assert run_fleet(scenario, services=ONE_ZONE) <= 2 * 2 * 4.0 / 0.6 + 1.5 * 4.0
+    assert sum(calls.values()) <= 2 * 2 * 4.0 / 0.6 + 1.5 * 4.0
 
 
 def test_expired_departure_records_of_other_vms_are_removed(run_fleet):
