Count a skipped fault of the soak as skipped; refresh the owner once at start

Callers saw: nothing. The soak counted draws of "forget" that found the store or the daemon in use by another fault, and a daemon that found a departure record at start refreshed its owner twice.

--- a/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
+++ b/packages/vanillapitch-relay/src/vanillapitch_relay/app.py
@@ -437,7 +437,7 @@
         departure = self._departures.find(start.entries)
         apply_departures_read(self._owner.parts.observed)
         if departure is not None:
-            self._restore_departure(departure)
+            self._keeper.restore(departure)
         self._owner.refresh()
         self._request_health_check()
         async with asyncio.TaskGroup() as group:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_faults.py
@@ -116,7 +116,9 @@
         await asyncio.sleep(self.rng.uniform(low_s, high_s))
 
 
-def _on_vm(part: str, body: Callable[[Context, Vm], Awaitable[None]]):
+def _on_vm(part: str, body: Callable[[Context, Vm], Awaitable[bool | None]]):
+    """Return a fault of a free VM; `body` returns False if it was not applied."""
+
     async def apply(context: Context) -> bool:
         vm = context.pick(part)
         if vm is None:
@@ -124,10 +126,9 @@
         subject = f"{part}:{vm.settings.node}"
         context.faulted_components.add(subject)
         try:
-            await body(context, vm)
+            return await body(context, vm) is not False
         finally:
             context.faulted_components.discard(subject)
-        return True
 
     return apply
 
@@ -350,12 +351,12 @@
     return True
 
 
-async def _forget_departure(context: Context, vm: Vm) -> None:
+async def _forget_departure(context: Context, vm: Vm) -> bool:
     """Deregister an endpoint in an outage, kill its daemon, send a late heartbeat."""
     rng, fleet, endpoint = context.rng, context.fleet, vm.endpoint
     components = {f"daemon:{vm.settings.node}", "store"}
     if components & context.faulted_components:
-        return
+        return False
     context.faulted_components |= components
     late_heartbeat = endpoint.prepare_announcement()
     fleet.store.faults = StoreFaults(refusal=Refusal.BUSY)
@@ -392,6 +393,7 @@
     await endpoint.restart()
     await context.pause(0.5, 1.0)
     context.faulted_components -= components
+    return True
 
 
 async def _spoil_phrases(context: Context, vm: Vm) -> None:
