Report a fault of the soak that fails, and keep the logs

Callers saw: nothing.

Measured: the test fails before (the soak ends with the error) and passes after.

--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/__init__.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/__init__.py
@@ -9,7 +9,15 @@
     ALL_FAULTS,
     FAULTS,
     LIMITS_AND_RESTORES,
+    Fault,
 )
 from vanillapitch_testbed.platform_soak._run import SoakReport, run_soak
 
-__all__ = ["ALL_FAULTS", "FAULTS", "LIMITS_AND_RESTORES", "SoakReport", "run_soak"]
+__all__ = [
+    "ALL_FAULTS",
+    "FAULTS",
+    "Fault",
+    "LIMITS_AND_RESTORES",
+    "SoakReport",
+    "run_soak",
+]
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_run.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/platform_soak/_run.py
@@ -144,6 +144,9 @@
     try:
         if await fault.apply(context):
             fault_counts[fault.name] += 1
+    except Exception as error:
+        # A daemon did not start or stop in time, for example; the report keeps its log.
+        context.fleet.violations.append(f"FAULT: {fault.name} failed: {error!r}")
     finally:
         semaphore.release()
 
--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -9,6 +9,7 @@
 from vanillapitch_testbed.platform_soak import (
     FAULTS,
     LIMITS_AND_RESTORES,
+    Fault,
     run_soak,
 )
 
@@ -35,3 +36,18 @@
     assert report.violations == []
     assert report.statuses[200] > 100
     assert sum(report.faults.values()) >= 3
+
+
+def test_a_fault_that_fails_is_reported_with_the_logs():
+    # Guards against a soak that ends with the error of a daemon that did not start or
+    # stop in time, and keeps nothing that shows why.
+    async def stop_too_slowly(context):
+        raise TimeoutError("a daemon is still running")
+
+    choices = (Fault(name="stop", apply=stop_too_slowly),)
+    soak = run_soak(seed=140, seconds=1.0, choices=choices)
+    report = asyncio.run(asyncio.wait_for(soak, 60))
+    assert set(report.violations) == {
+        "FAULT: stop failed: TimeoutError('a daemon is still running')"
+    }
+    assert '"started"' in report.logs_by_node["vm-1"]
