Share client connections and listeners without sockets between tests

The tests of responses and of parse turns made the same connections; they use make_client, start_exchange and make_server_state of the testbed.

--- a/packages/vanillapitch-relay/tests/test_faulty_peers.py
+++ b/packages/vanillapitch-relay/tests/test_faulty_peers.py
@@ -12,9 +12,8 @@
     RelayError,
     ResponseInvalid,
 )
-from vanillapitch_relay.http_client import HttpConnection, HttpRequest
 from vanillapitch_testbed.platform_standins import send_request
-from vanillapitch_testbed.transport import RecordingTransport
+from vanillapitch_testbed.transport import make_client, start_exchange
 from vanillapitch_wire.relay import (
     PROTOCOL_VERSION,
     Call,
@@ -329,13 +328,8 @@
     # Guards against bytes of an endpoint that raise an undeclared error, leave a
     # request without an end, or are taken for its response without its id.
     async def exchange():
-        connection = HttpConnection(echo_header=b"x-vanillapitch-attempt-id")
-        connection.connection_made(RecordingTransport())
-        request = HttpRequest(
-            method="GET", target="/a", headers=[(b"host", b"h")], request_id=b"1"
-        )
-        task = asyncio.ensure_future(connection.exchange(request))
-        await asyncio.sleep(0)
+        connection = make_client()
+        task = await start_exchange(connection)
         for part in (data[:cut], data[cut:]):
             if part and not task.done():
                 connection.data_received(part)
@@ -399,14 +393,9 @@
     data = CUT_RESPONSES[kind]
 
     async def exchange(length):
-        connection = HttpConnection(echo_header=b"x-vanillapitch-attempt-id")
-        connection.connection_made(RecordingTransport())
-        request = HttpRequest(
-            method="GET", target="/a", headers=[(b"host", b"h")], request_id=b"1"
-        )
+        connection = make_client()
         for part in [WITH_LENGTH] * is_reused + [data[:length]]:
-            task = asyncio.ensure_future(connection.exchange(request))
-            await asyncio.sleep(0)
+            task = await start_exchange(connection)
             connection.data_received(part)
             if part is not WITH_LENGTH:
                 connection.eof_received()
--- a/packages/vanillapitch-relay/tests/test_recovery.py
+++ b/packages/vanillapitch-relay/tests/test_recovery.py
@@ -565,3 +565,36 @@
     response = run_fleet(scenario)
     assert response.status == 503
     assert "retry-after" in response.headers
+
+
+def test_the_follower_ends_when_it_is_cancelled_beside_its_watch(run_fleet):
+    # Guards against a daemon that keeps watching while it stops, because the
+    # cancellation comes while its follower waits for a watch that it has cancelled.
+    async def scenario(fleet):
+        daemon = fleet.vms[0].daemon
+        ending = asyncio.Event()
+        watches = []
+
+        async def watch_slowly_cancelled(*arguments, **options):
+            watches.append(options)
+            try:
+                await asyncio.sleep(60)
+            finally:
+                ending.set()
+                await asyncio.sleep(0.05)
+
+        start = await daemon._store.get_prefix("op/")
+        # Ends the daemon's own follower, which would share the state of the other one.
+        daemon._tasks[0].cancel()
+        await asyncio.wait((daemon._tasks[0],))
+        daemon._store.watch_prefix = watch_slowly_cancelled
+        follower = asyncio.ensure_future(daemon._follower.run(start))
+        await fleet.wait_until(lambda: watches)
+        daemon._follower.on_store_restored()
+        await ending.wait()
+        started = len(watches)
+        follower.cancel()
+        await asyncio.wait((follower,), timeout=1.0)
+        return follower.cancelled(), len(watches) - started
+
+    assert run_fleet(scenario) == (True, 0)
--- a/packages/vanillapitch-relay/tests/test_response_order.py
+++ b/packages/vanillapitch-relay/tests/test_response_order.py
@@ -1,24 +1,22 @@
 """Responses that are hard to write, and the order of those behind them."""
 
-import asyncio
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from vanillapitch_core.clock import SystemClock
 from vanillapitch_relay import http_server
-from vanillapitch_relay.body_budget import BodyBudget
 from vanillapitch_relay.configuration_state import _INITIAL_LIMITS
 from vanillapitch_relay.exceptions import RelayError
-from vanillapitch_relay.http_client import HttpConnection, HttpRequest, HttpResponse
-from vanillapitch_relay.http_server import CallerConnection, ServerState
+from vanillapitch_relay.http_client import HttpResponse
+from vanillapitch_relay.http_server import CallerConnection
 from vanillapitch_testbed.platform_standins import read_pipelined, send_pipelined
-from vanillapitch_testbed.transport import RecordingTransport, run_protocol
+from vanillapitch_testbed.transport import (
+    make_client,
+    make_server_state,
+    run_protocol,
+    start_exchange,
+)
 
 ID = b"x-vanillapitch-attempt-id"
-REQUEST = HttpRequest(
-    method="GET", target="/", headers=[(b"host", b"h")], request_id=b"1"
-)
 
 
 def serve(respond, *, count=3):
@@ -27,12 +25,7 @@
     async def handle(request, arrived_ms, host):
         return await respond(request.target)
 
-    state = ServerState(
-        handle=handle,
-        limits=lambda: _INITIAL_LIMITS,
-        clock=SystemClock(),
-        body_budget=BodyBudget(limit_bytes=1_000_000),
-    )
+    state = make_server_state(handle, limits=_INITIAL_LIMITS)
     requests = b"".join(
         b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % number for number in range(count)
     )
@@ -112,10 +105,8 @@
     )
 
     async def respond(target):
-        connection = HttpConnection(echo_header=ID)
-        connection.connection_made(RecordingTransport())
-        exchange = asyncio.ensure_future(connection.exchange(REQUEST))
-        await asyncio.sleep(0)
+        connection = make_client()
+        exchange = await start_exchange(connection)
         connection.data_received(raw)
         connection.connection_lost(None)
         try:
--- a/packages/vanillapitch-testbed/src/vanillapitch_testbed/transport.py
+++ b/packages/vanillapitch-testbed/src/vanillapitch_testbed/transport.py
@@ -3,9 +3,27 @@
 import asyncio
 from collections.abc import Callable
 
-__all__ = ["RecordingTransport", "run_protocol"]
+from vanillapitch_core.clock import SystemClock
+from vanillapitch_relay.body_budget import BodyBudget
+from vanillapitch_relay.http_client import HttpConnection, HttpRequest, HttpResponse
+from vanillapitch_relay.http_server import Handler, ServerState
+from vanillapitch_relay.model import ClientLimits
+
+__all__ = [
+    "REQUEST",
+    "RecordingTransport",
+    "count_iterations",
+    "make_client",
+    "make_server_state",
+    "run_protocol",
+    "start_exchange",
+]
 
 TASKS_TIMEOUT_S = 5.0
+BODY_BYTES = 1_000_000
+REQUEST = HttpRequest(
+    method="GET", target="/", headers=[(b"host", b"h")], request_id=b"1"
+)
 
 
 class RecordingTransport(asyncio.Transport):
@@ -87,3 +105,55 @@
         return transport
 
     return asyncio.run(body())
+
+
+def count_iterations() -> list[int]:
+    """Return a list that grows by one entry in each iteration of the event loop."""
+    iterations = []
+
+    def count() -> None:
+        iterations.append(1)
+        asyncio.get_running_loop().call_soon(count)
+
+    count()
+    return iterations
+
+
+def make_client(**options) -> HttpConnection:
+    """Return a client connection with a `RecordingTransport`.
+
+    Parameters
+    ----------
+    **options
+        Options of the connection.
+    """
+    connection = HttpConnection(echo_header=b"x-vanillapitch-attempt-id", **options)
+    connection.connection_made(RecordingTransport())
+    return connection
+
+
+async def start_exchange(
+    connection: HttpConnection, request: HttpRequest = REQUEST
+) -> asyncio.Future[HttpResponse]:
+    """Send a request; return the future of its response."""
+    exchange = asyncio.ensure_future(connection.exchange(request))
+    await asyncio.sleep(0)
+    return exchange
+
+
+def make_server_state(handle: Handler, *, limits: ClientLimits) -> ServerState:
+    """Return the state of a listener without sockets.
+
+    Parameters
+    ----------
+    handle : Handler
+        Called with each complete request.
+    limits : ClientLimits
+        Limits in force.
+    """
+    return ServerState(
+        handle=handle,
+        limits=lambda: limits,
+        clock=SystemClock(),
+        body_budget=BodyBudget(limit_bytes=BODY_BYTES),
+    )
