--- a/packages/vanillapitch-relay/tests/test_parse_turns.py
+++ b/packages/vanillapitch-relay/tests/test_parse_turns.py
@@ -38,7 +38,10 @@
     iterations = count_iterations()
     for connection in connections:
         connection.data_received(RESPONSE)
+    # Bytes that arrive meanwhile stay with the sender.
+    assert not any(connection._transport.reading for connection in connections)
     responses = await asyncio.gather(*exchanges)
+    assert all(connection._transport.reading for connection in connections)
     return len(iterations), [response.body for response in responses]
 
 
